Refuse requests whose length can be read in two ways

net/http goes by Transfer-Encoding where a request also has a Content-Length, hides the latter from the handler and keeps the connection open: what another reader takes for the rest of the body was read as the next request and sent to a backend. RFC 9112 section 6.1 lets a server refuse such a message and has it close the connection. The client's connection now notes which of the two fields each head holds; a request with both, or with a coding in a version before 1.1, gets 400 and a close, and after any chunked request the connection is closed.

Backends answered what they were sent in this way with an error, which demoted one server after the other.

--- /dev/null
+++ b/internal/agent/peer_test.go
@@ -0,0 +1,82 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// peer connects to the agent as anyone may.
+func peer(t *testing.T, base string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	// Far past every wait of the agent's: a test that meets it has failed.
+	c.SetReadDeadline(time.Now().Add(time.Minute))
+	return c, bufio.NewReader(c)
+}
+
+// A request of which two readers could see different ends is answered with an error, and
+// what it carried in its body is never taken for a request.
+func TestAmbiguousLength(t *testing.T) {
+	inner := "GET /look/u2 HTTP/1.1\r\nHost: x\r\nRequest-Id: inner\r\nRequest-Timeout: 30000m\r\n\r\n"
+	start1 := "POST /order/u1 HTTP/1.1\r\nHost: x\r\nRequest-Id: outer\r\nRequest-Timeout: 30000m\r\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n", len("0\r\n\r\n"+inner))
+	const coding = "Transfer-Encoding: chunked\r\n"
+	for name, text := range map[string]string{
+		"length first":    start1 + length + coding + "\r\n0\r\n\r\n" + inner,
+		"coding first":    start1 + coding + length + "\r\n0\r\n\r\n" + inner,
+		"other case":      start1 + strings.ToLower(length) + "TRANSFER-ENCODING: Chunked\r\n\r\n0\r\n\r\n" + inner,
+		"another class":   strings.Replace(start1, "/order/", "/nothing/", 1) + length + coding + "\r\n0\r\n\r\n" + inner,
+		"ready":           "GET /ready HTTP/1.1\r\nHost: x\r\n" + length + coding + "\r\n0\r\n\r\n" + inner,
+		"coding in 1.0":   strings.Replace(start1, "1.1", "1.0", 1) + "Connection: keep-alive\r\n" + coding + "\r\n0\r\n\r\n" + inner,
+		"two lengths":     start1 + "Content-Length: 0\r\n" + length + "\r\n" + inner,
+		"two codings":     start1 + coding + coding + "\r\n0\r\n\r\n" + inner,
+		"after a request": "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, came := counted(t, 200, false)
+			_, base, _, _ := start(t, config(nowhere, addr))
+			c, r := peer(t, base)
+			if name == "after a request" {
+				io.WriteString(c, text)
+				if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 {
+					t.Fatalf("/ready: %v %v", resp, err)
+				}
+				text = start1 + length + coding + "\r\n0\r\n\r\n" + inner
+			}
+			io.WriteString(c, text)
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil || resp.StatusCode < 400 || resp.StatusCode > 501 {
+				t.Fatalf("answered %v, %v", resp, err)
+			}
+			// What comes now, if the connection is not closed, answers what stood inside.
+			io.Copy(io.Discard, resp.Body)
+			if more, err := http.ReadResponse(r, nil); err == nil {
+				t.Fatalf("the body was answered: %v", more)
+			}
+			if len(came) > 0 {
+				t.Fatalf("%q reached a backend", <-came)
+			}
+		})
+	}
+}
+
+// A body in chunks is as good as one of a stated length.
+func TestChunkedRequest(t *testing.T) {
+	addr, came := counted(t, 200, false)
+	_, base, _, _ := start(t, config(nowhere, addr))
+	req := call(base, "send")
+	req.ContentLength = -1
+	if status, body, _ := do(t, req); status != 200 || body != "done" || len(came) != 1 {
+		t.Fatalf("got %d %q, %d requests at the backend", status, body, len(came))
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -73,6 +73,12 @@
 		MaxHeaderBytes:    maxBody,
 		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, clientKey{}, c) },
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if c, ok := c.(*clientConn); ok && state == http.StateIdle {
+				c.head.reset()
+			}
+		},
 	}
 	return a, nil
 }
@@ -123,6 +129,16 @@
 	net.Conn
 	places chan struct{}
 	closed atomic.Bool
+	head   head
+}
+
+// clientKey finds the clientConn in a request's context.
+type clientKey struct{}
+
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.head.scan(p[:n])
+	return n, err
 }
 
 func (c *clientConn) Close() error {
@@ -158,6 +174,16 @@
 // ServeHTTP takes one request and gives it one answer.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	came := time.Now()
+	if c, ok := hr.Context().Value(clientKey{}).(*clientConn); ok && c.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
+		w.Header().Set("Connection", "close")
+		a.write(w, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
+		return
+	}
+	if len(hr.TransferEncoding) > 0 {
+		// Should its head have been read with the request before and so gone unseen, what
+		// another reader would take for a part of its body is still not read as a request.
+		w.Header().Set("Connection", "close")
+	}
 	if hr.URL.Path == "/ready" {
 		a.serveReady(w)
 		return
