Give a request's head 1.5 s and its body 1 s to come

A peer that sends no proper request is owed an error or a close within 3 s of connecting. The head had 30 s, a body the request's own time-out, and a body that was not read (unknown class, /ready) no limit at all; what is no proper request is now also closed after its error. Such peers held the places of clients meanwhile.

--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -80,3 +80,37 @@
 		t.Fatalf("got %d %q, %d requests at the backend", status, body, len(came))
 	}
 }
+
+// A peer that sends no proper request, or stops in the middle of one, is soon rid of and
+// gives its place back.
+func TestSilentPeer(t *testing.T) {
+	const post = "POST /order/u1 HTTP/1.1\r\nHost: x\r\nRequest-Id: id1\r\nRequest-Timeout: 30000m\r\n"
+	for name, text := range map[string]string{
+		"nothing":              "",
+		"half a line":          "GET /look",
+		"half a head":          post,
+		"half a body":          post + "Content-Length: 9\r\n\r\nbody",
+		"half a chunk":         post + "Transfer-Encoding: chunked\r\n\r\n9\r\nbody",
+		"half an unread body":  strings.Replace(post, "/order/", "/nothing/", 1) + "Content-Length: 9\r\n\r\nbody",
+		"half of a ready body": "GET /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nbody",
+		"unknown class":        strings.Replace(post, "/order/", "/nothing/", 1) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, came := counted(t, 200, false)
+			a, base, _, _ := start(t, config(nowhere, addr))
+			c, r := peer(t, base)
+			c.SetReadDeadline(time.Now().Add(20 * time.Second)) // the client's time is 30 s
+			io.WriteString(c, text)
+			if _, err := io.Copy(io.Discard, r); err != nil {
+				t.Fatalf("not closed: %v", err)
+			}
+			if len(came) > 0 {
+				t.Fatal("reached a backend")
+			}
+			for len(a.clients) > 1 { // one waits for the next client
+				time.Sleep(time.Millisecond) // the place is given back after the close
+			}
+		})
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -28,6 +28,10 @@
 	// acceptFor is how long connections are taken after SIGTERM: they go on coming for
 	// up to 0.4 s.
 	acceptFor = 450 * time.Millisecond
+	// headWait is how long a request's head may take to come, the first from the connect
+	// on, and bodyWait how long its body: a peer that sends no proper request is owed an
+	// error or a close within 3 s of connecting, and holds a client's place until then.
+	headWait, bodyWait = 1500 * time.Millisecond, time.Second
 	// maxTimeout is the longest deadline there is, with room to spare.
 	maxTimeout = time.Minute
 )
@@ -68,7 +72,7 @@
 		clients: make(chan struct{}, clientSockets(c.Limits.Sockets))}
 	a.server = &http.Server{
 		Handler:           a,
-		ReadHeaderTimeout: 30 * time.Second,
+		ReadHeaderTimeout: headWait,
 		IdleTimeout:       5 * time.Minute,
 		MaxHeaderBytes:    maxBody,
 		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
@@ -174,6 +178,11 @@
 // ServeHTTP takes one request and gives it one answer.
 func (a *Agent) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
 	came := time.Now()
+	control := http.NewResponseController(w)
+	if hr.ContentLength != 0 {
+		// Also where it is not read here: net/http reads on to the next request.
+		_ = control.SetReadDeadline(came.Add(bodyWait))
+	}
 	if c, ok := hr.Context().Value(clientKey{}).(*clientConn); ok && c.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
 		w.Header().Set("Connection", "close")
 		a.write(w, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
@@ -205,9 +214,11 @@
 	r, bad := a.read(w, hr, came)
 	if bad != nil {
 		answered = true
+		w.Header().Set("Connection", "close") // the place is for who sends proper requests
 		a.write(w, bad.status, "text/plain", []byte(bad.text+"\n"))
 		return
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guard.Stop()
 	a.loop.post(input{kind: inRequest, req: r})
@@ -272,9 +283,6 @@
 	if hint, err := strconv.ParseFloat(hr.Header.Get("Work-Hint"), 64); err == nil {
 		r.hintMs, r.hasHint = hint/1000, true
 	}
-	// A body that stops coming must not hold its connection for ever.
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(r.deadline)
 	r.body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, maxBody))
 	if err != nil {
 		if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
@@ -282,7 +290,6 @@
 		}
 		return nil, &problem{http.StatusRequestTimeout, "body: did not come whole"}
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	return r, nil
 }
 
