Close clients' connections that stand idle for 2.1 s

A connection kept its place for 5 minutes after an answer, and an answer to /ready did not close it when few places were left.

--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -114,3 +114,33 @@
 		})
 	}
 }
+
+// Connections that stand idle give their places to others: none is left to take a request
+// on while each waits for a next one that need not come.
+func TestIdleGiveWay(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	conf := config(nowhere, addr)
+	conf["limits"].(map[string]any)["sockets"] = minSockets
+	a, base, _, _ := start(t, conf)
+	closed := 0
+	for range cap(a.clients) {
+		c, r := peer(t, base)
+		io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("/ready: %v %v", resp, err)
+		}
+		if resp.Close {
+			closed++
+		}
+	}
+	if closed == 0 || closed == cap(a.clients) {
+		t.Fatalf("%d of %d were told to close, want those that found few places left", closed, cap(a.clients))
+	}
+	for len(a.clients) > 1 {
+		time.Sleep(time.Millisecond) // one waits for the next client
+	}
+	if status, _, _ := do(t, call(base, "order")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -32,6 +32,9 @@
 	// on, and bodyWait how long its body: a peer that sends no proper request is owed an
 	// error or a close within 3 s of connecting, and holds a client's place until then.
 	headWait, bodyWait = 1500 * time.Millisecond, time.Second
+	// idleWait is how long a connection without a request keeps its place: no shorter than
+	// clients may rely on, as no place is left for others while idle ones hold them all.
+	idleWait = 2100 * time.Millisecond
 	// maxTimeout is the longest deadline there is, with room to spare.
 	maxTimeout = time.Minute
 )
@@ -73,7 +76,7 @@
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headWait,
-		IdleTimeout:       5 * time.Minute,
+		IdleTimeout:       idleWait,
 		MaxHeaderBytes:    maxBody,
 		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
@@ -238,10 +241,10 @@
 
 func (a *Agent) serveReady(w http.ResponseWriter) {
 	if a.leaving.Load() || !a.loop.ready.Load() {
-		http.Error(w, "no backend to send to", http.StatusServiceUnavailable)
+		a.write(w, http.StatusServiceUnavailable, "text/plain", []byte("no backend to send to\n"))
 		return
 	}
-	w.WriteHeader(http.StatusOK)
+	a.write(w, http.StatusOK, "", nil)
 }
 
 // read makes a request of what the client sent, its body included.
