Send the probes that the module asks for

The agent dropped the module's probe action: no answer ever came, the cap of two validations stayed used up after the first two, and each server that had failed stood pending until its lapse, one attempt at a time. Probes now go out as GET /status/load, or /health where servers report no load, on the backend's own connections, end as attempts do, and are told to the module.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -691,3 +691,55 @@
 		t.Fatalf("asked again %q", q)
 	}
 }
+
+// A server that failed is asked how it is in the background, and what it says reaches the
+// module: it is sent to again, and is not asked twice at once.
+func TestProbe(t *testing.T) {
+	for _, c := range []struct {
+		how, path string
+		status    int
+		want      policy.Status
+	}{
+		{"on_probe", "/status/load", 200, policy.OK},
+		{"off", "/health", 200, policy.OK},
+		{"off", "/health", 503, policy.Error},
+	} {
+		t.Run(fmt.Sprint(c.path, c.status), func(t *testing.T) {
+			asked := make(chan *http.Request, 10)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked <- r
+				w.WriteHeader(c.status)
+				fmt.Fprint(w, "TEXT util=0.5")
+			}))
+			t.Cleanup(s.Close)
+			l := quietLoop(t, s.Listener.Addr().String())
+			l.set.Report = policy.Report{How: c.how, Names: []string{"util"}}
+			b := l.backends[addrOf("s-0")]
+			l.actions = []policy.Action{{Kind: policy.ActProbe, Server: b.addr}}
+			l.act()
+			r := <-asked
+			if r.Method != http.MethodGet || r.URL.Path != c.path || r.Header.Get("Request-Id") != "" {
+				t.Fatalf("asked %s %s %v", r.Method, r.URL.Path, r.Header)
+			}
+			in := <-l.in
+			if in.kind != inProbed || in.res.status != c.want || in.att.backend != b {
+				t.Fatalf("told %+v", in)
+			}
+			l.handle(in)
+			if len(b.attempts) > 0 {
+				t.Fatal("the probe is still out")
+			}
+		})
+	}
+}
+
+// A probe of what is not listed any more ends too: the module waits for its end.
+func TestProbeOfUnlisted(t *testing.T) {
+	l := quietLoop(t)
+	l.actions = []policy.Action{{Kind: policy.ActProbe, Server: addrOf("s-0")}}
+	l.act()
+	if len(l.todo) != 1 || l.todo[0].kind != inProbed {
+		t.Fatalf("told %+v", l.todo)
+	}
+	l.handle(l.todo[0])
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -116,7 +116,8 @@
 	over                 // withdrawn before a byte was written: none will be
 )
 
-// attempt is one send of a request to a backend.
+// attempt is one send of a request to a backend. A probe is one too, of a request that
+// has no id and that no client waits for.
 type attempt struct {
 	req     *request
 	index   int
@@ -219,10 +220,12 @@
 	u.Scheme, u.Host = "http", a.dial
 	left := max(time.Until(a.deadline()).Milliseconds(), 1)
 	h := http.Header{
-		"Request-Id":      {r.wireID},
 		"Request-Timeout": {strconv.FormatInt(left, 10) + "m"},
 		"User-Agent":      {""},
 	}
+	if r.wireID != "" {
+		h["Request-Id"] = []string{r.wireID}
+	}
 	if r.idempotency != "" {
 		h["Idempotency-Key"] = []string{r.idempotency}
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -4,8 +4,10 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/url"
 	"runtime/debug"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,7 @@
 	inRequest    inKind = iota // req
 	inDropped                  // req: its handler answers or waits no longer
 	inOutcome                  // att, res
+	inProbed                   // att, res
 	inTimer                    // token
 	inFetched                  // list or err
 	inWatched                  // list
@@ -174,6 +177,8 @@
 		}
 	case inOutcome:
 		l.onOutcome(in.att, &in.res)
+	case inProbed:
+		l.onProbed(in.att, &in.res)
 	case inTimer:
 		l.tell(&policy.Event{Kind: policy.EvTimer, Token: in.token})
 	case inFetched:
@@ -219,12 +224,8 @@
 
 func (l *loop) onOutcome(a *attempt, res *result) {
 	r, b := a.req, a.backend
-	delete(b.attempts, a)
-	l.drop(b)
+	l.leave(a)
 	r.open--
-	if a.transport != b.transport {
-		a.transport.CloseIdleConnections() // to the address or the process before
-	}
 	if res.status == policy.OK {
 		l.answer(r, answer{status: policy.OK, body: res.body, kind: res.kind})
 	}
@@ -238,6 +239,27 @@
 	l.forget(r)
 }
 
+func (l *loop) onProbed(a *attempt, res *result) {
+	l.leave(a)
+	text := res.load
+	if text == "" {
+		text = string(res.body)
+	}
+	l.tell(&policy.Event{Kind: policy.EvProbed, Server: a.backend.addr, Status: res.status,
+		LatencyMs: float64(res.took) / float64(time.Millisecond),
+		Report:    report(strings.TrimSpace(text), l.set.Report.Names)})
+}
+
+// leave takes an attempt that has ended from its backend.
+func (l *loop) leave(a *attempt) {
+	b := a.backend
+	delete(b.attempts, a)
+	l.drop(b)
+	if a.transport != b.transport {
+		a.transport.CloseIdleConnections() // to the address or the process before
+	}
+}
+
 // answer gives a request its final answer, unless it has one.
 func (l *loop) answer(r *request, a answer) {
 	if !r.answered {
@@ -277,6 +299,8 @@
 				l.answer(r, answer{status: policy.Error})
 				l.forget(r)
 			}
+		case policy.ActProbe:
+			l.probe(act.Server)
 		case policy.ActTimer:
 			token := act.Token
 			time.AfterFunc(ms(act.Ms), func() { l.post(input{kind: inTimer, token: token}) })
@@ -306,15 +330,8 @@
 	if b == nil {
 		b = &backend{addr: act.Server, transport: l.dialer.newTransport()}
 	}
-	a := &attempt{req: r, index: len(r.attempts), backend: b, transport: b.transport, dial: b.dial,
-		started: time.Now()}
-	ctx, cancel := context.WithCancelCause(l.ctx)
-	var stop context.CancelFunc
-	a.ctx, stop = context.WithTimeout(ctx, ms(act.Ms))
-	a.cancel = func(cause error) {
-		cancel(cause)
-		stop()
-	}
+	a := l.attempt(r, b, ms(act.Ms))
+	a.index = len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if !b.usable || r.answered {
@@ -327,6 +344,39 @@
 	go func() { l.post(input{kind: inOutcome, att: a, res: a.run()}) }()
 }
 
+// attempt makes an attempt that ends by itself after a time.
+func (l *loop) attempt(r *request, b *backend, timeout time.Duration) *attempt {
+	a := &attempt{req: r, backend: b, transport: b.transport, dial: b.dial, started: time.Now()}
+	ctx, cancel := context.WithCancelCause(l.ctx)
+	var stop context.CancelFunc
+	a.ctx, stop = context.WithTimeout(ctx, timeout)
+	a.cancel = func(cause error) {
+		cancel(cause)
+		stop()
+	}
+	return a
+}
+
+// probe asks a backend how it is. Each probe has one end, which the module waits for.
+func (l *loop) probe(addr policy.Addr) {
+	b := l.backends[addr]
+	if b == nil || !b.usable {
+		if b == nil {
+			b = &backend{addr: addr, transport: l.dialer.newTransport()}
+		}
+		l.todo = append(l.todo, input{kind: inProbed, att: l.attempt(nil, b, 0), res: result{status: policy.Moot}})
+		return
+	}
+	path := "/status/load"
+	if l.set.Report.How == "off" {
+		path = "/health"
+	}
+	// It is answered beside the queue: what takes longer than two connects is no answer.
+	a := l.attempt(&request{method: http.MethodGet, url: &url.URL{Path: path}}, b, 2*l.dialer.timeout)
+	b.attempts[a] = struct{}{}
+	go func() { l.post(input{kind: inProbed, att: a, res: a.run()}) }()
+}
+
 // learn applies a list: to the connections first, then the module is told.
 func (l *loop) learn(kind policy.ListKind, list *List) {
 	l.seq = list.Seq
