Judge a probe that breaks off as an attempt that does

A probe that ended in a reset or an error marked its server silent. An attempt with such an end never counted as silence.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -728,24 +728,6 @@
 	s.heard, s.lostAt = b.now, 0
 }
 
-// hintedTime is what the line says for the request; 0 while little is known.
-func (b *Balancer) hintedTime(r *request) float64 {
-	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
-		return 0
-	}
-	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
-}
-
-// partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
-// request counts as one of mean work; a small one's time is mostly the network's.
-func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
-	if r.hint > 0 {
-		x *= min(b.meanHint/r.hint, 1)
-	}
-	return min(x, 2)
-}
-
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
 	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
@@ -828,6 +810,10 @@
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
+	case ev.Status == Error || ev.Status == Reset:
+		// As with an attempt: what answers so, or breaks off, is there.
+		s.heard = b.now
+		b.demote(s, false)
 	case ev.Status != Full:
 		b.demote(s, true)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// A probe that broke off tells no more of its server than an attempt that did: it is there,
+// and is tried again at once while the others are full. One that answers nothing is not.
+func TestBrokenProbeIsNoSilence(t *testing.T) {
+	for status, tried := range map[Status]bool{Reset: true, Error: true, Timeout: false, ConnectFailed: false} {
+		set := testSettings()
+		set.Limits.Probing = true
+		r := newRig(t, set, 4)
+		bad := r.b.byAddr[addr(0)]
+		for range 3 {
+			r.b.enter(bad, Connected)
+			r.b.demote(bad, false)
+		}
+		r.now += r.b.holdFor(bad)
+		r.ask(0, 0) // sends the probe
+		r.do(Event{Kind: EvProbed, Server: bad.id, Status: status, LatencyMs: 5})
+		if bad.state != Unhealthy {
+			t.Fatalf("a probe that ended %d did not demote", status)
+		}
+		for range 40 { // more than the other windows hold
+			r.ask(0, 0)
+		}
+		r.now++
+		r.ask(0, 0)
+		if got := bad.state == UnhealthyPending; got != tried {
+			t.Errorf("a probe ended %d; the server tried at once while others are full: %v, want %v", status, got, tried)
+		}
+	}
+}
+
 func TestEmptyTopTierPassesDown(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	for range 2 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -210,6 +210,24 @@
 	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
 }
 
+// hintedTime is what the line says for the request; 0 while little is known.
+func (b *Balancer) hintedTime(r *request) float64 {
+	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
+		return 0
+	}
+	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
+}
+
+// partOfAim is an answer time as a part of the aim. Where hints tell the work a costly
+// request counts as one of mean work; a small one's time is mostly the network's.
+func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
+	x := rtt / b.set.Classes[r.class].AimMs
+	if r.hint > 0 {
+		x *= min(b.meanHint/r.hint, 1)
+	}
+	return min(x, 2)
+}
+
 // tooMany tells whether more requests are held than the agent can bear: past the
 // requests it may have open, clients would wait for a connection with nobody to answer.
 func (b *Balancer) tooMany() bool {
