Take over discovery's new address on SIGHUP

SIGHUP ended the program, and an agent that ends on it has crashed. It now reads its configuration again; where discovery has moved, calls under way are made anew at once at the new address, as what it has to tell counts as told 4 s after the signal, and what still comes from the old address is passed over. A file that cannot be read is logged and changes nothing.

TestReconfigure fails without it: the program dies on the signal.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -27,7 +27,10 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	conf, err := agent.LoadConfig(os.Getenv("EDGE_CONFIG"))
+	path := os.Getenv("EDGE_CONFIG")
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	conf, err := agent.LoadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -46,6 +49,17 @@
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
+	go func() {
+		for range again {
+			conf, err := agent.LoadConfig(path)
+			if err != nil {
+				log.Error("SIGHUP: the configuration stays as it was", "err", err)
+				continue
+			}
+			log.Info("SIGHUP: configuration read again", "discovery", conf.Discovery)
+			a.Reconfigure(conf)
+		}
+	}()
 	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
 	if err := a.Serve(ctx, ln); err != nil {
 		return err
--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -31,7 +31,11 @@
 
 func child(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
+	return childAt(t, filepath.Join(t.TempDir(), "config.json"), config)
+}
+
+func childAt(t *testing.T, path, config string) (*exec.Cmd, *bytes.Buffer) {
+	t.Helper()
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -49,22 +53,19 @@
 	return cmd, out
 }
 
-// The program serves a request and ends on SIGTERM with exit code 0.
-func TestProgram(t *testing.T) {
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprint(w, "done ", r.URL.Path)
-	}))
-	defer backend.Close()
+func freeAddr(t *testing.T) string {
+	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := free.Addr().String()
-	free.Close()
-	cmd, out := child(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
- "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s,
- "known":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"a","class":"k","health":"ready","share":1}]}}`,
-		listen, settings, backend.Listener.Addr().String()))
+	defer free.Close()
+	return free.Addr().String()
+}
+
+// waitReady waits until the program can serve.
+func waitReady(t *testing.T, listen string, out *bytes.Buffer) {
+	t.Helper()
 	for tries := 0; ; tries++ {
 		resp, err := http.Get("http://" + listen + "/ready")
 		if err == nil {
@@ -78,6 +79,20 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+}
+
+// The program serves a request and ends on SIGTERM with exit code 0.
+func TestProgram(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "done ", r.URL.Path)
+	}))
+	defer backend.Close()
+	listen := freeAddr(t)
+	cmd, out := child(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"1f",
+ "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s,
+ "known":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"a","class":"k","health":"ready","share":1}]}}`,
+		listen, settings, backend.Listener.Addr().String()))
+	waitReady(t, listen, out)
 	ask := func() *http.Response {
 		req, _ := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
 		req.Header.Set("Request-Id", "1")
@@ -110,3 +125,50 @@
 		t.Fatalf("said %q, want one line that names listen", got)
 	}
 }
+
+// On SIGHUP the program asks discovery at the address that its configuration names now,
+// and goes on.
+func TestReconfigure(t *testing.T) {
+	watched := func() (string, chan string) {
+		asked := make(chan string, 100)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.RawQuery
+			fmt.Fprintln(w, `{"seq":1,"whole":false,"hosts":[]}`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+		return s.Listener.Addr().String(), asked
+	}
+	before, askedBefore := watched()
+	after, askedAfter := watched()
+	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
+ "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s,
+ "known":{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:1","site":"a","class":"k","health":"ready","share":1}]}}`,
+			listen, discovery, settings)
+	}
+	cmd, out := childAt(t, path, config(before))
+	waitReady(t, listen, out)
+	<-askedBefore
+	for _, text := range []string{"{", config(after)} { // half a file changes nothing
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		waitReady(t, listen, out)
+	}
+	if q := <-askedAfter; q != "follow=1&since=1" {
+		t.Fatalf("asked %q", q)
+	}
+	waitReady(t, listen, out)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("after SIGTERM: %v; it said %s", err, out)
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -95,6 +95,7 @@
 // discovery asks the service that lists the backends. Its methods block; the loop
 // runs each in a goroutine of its own, and hears of the result by post.
 type discovery struct {
+	addr    string
 	base    string
 	client  *http.Client
 	post    func(input)
@@ -102,10 +103,15 @@
 }
 
 func newDiscovery(addr string, post func(input)) *discovery {
-	return &discovery{base: "http://" + addr + "/v1/endpoints", post: post, silence: watchSilence,
+	d := &discovery{addr: addr, base: "http://" + addr + "/v1/endpoints", silence: watchSilence,
 		// A connection a call: a kept one could break under the next call, which the
 		// transport would then send twice, and each call is work for discovery.
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	d.post = func(in input) {
+		in.from = d
+		post(in)
+	}
+	return d
 }
 
 // fetch asks for the whole list once.
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -27,6 +27,7 @@
 	inFetched                  // list or err
 	inWatched                  // list
 	inWatchEnded               // err
+	inMoved                    // addr: where discovery is from now on
 )
 
 // input is one thing that happened, on its way to the loop.
@@ -38,6 +39,8 @@
 	token uint32
 	list  List
 	err   error
+	from  *discovery // who told
+	addr  string
 }
 
 // request is what a client asked. The handler fills it in; what stands below
@@ -86,6 +89,8 @@
 	baseMs   float64
 	dialer   *dialer
 	disc     *discovery
+	leaveOff context.CancelFunc // ends the calls to disc
+	discCtx  context.Context
 	requests map[policy.RequestID]*request
 	backends map[policy.Addr]*backend
 	nextID   policy.RequestID
@@ -120,7 +125,7 @@
 	if l.dialer.timeout <= 0 {
 		l.dialer.timeout = time.Second
 	}
-	l.disc = newDiscovery(c.Discovery, l.post)
+	l.ask(c.Discovery)
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
 	l.learn(policy.ListCached, &c.Known)
@@ -166,6 +171,9 @@
 			l.log.Error("panic in the loop", "input", in.kind, "panic", p, "stack", string(debug.Stack()))
 		}
 	}()
+	if in.from != nil && in.from != l.disc {
+		return // from where discovery was before
+	}
 	switch in.kind {
 	case inRequest:
 		l.onRequest(in.req)
@@ -201,6 +209,32 @@
 		l.watching = false
 		l.log.Warn("discovery: watch ended", "err", in.err)
 		l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+	case inMoved:
+		l.move(in.addr)
+	}
+}
+
+// ask makes addr the discovery that is asked from now on.
+func (l *loop) ask(addr string) {
+	l.disc = newDiscovery(addr, l.post)
+	l.discCtx, l.leaveOff = context.WithCancel(l.ctx)
+}
+
+// move takes the calls under way to discovery's new address. To the module they are the
+// ones it made. The watch begins there also where the module waits to ask again: that
+// wait is for the address before, and the new one's changes count as told in 4 s.
+func (l *loop) move(addr string) {
+	if addr == l.disc.addr {
+		return
+	}
+	l.leaveOff()
+	l.ask(addr)
+	if l.fetching {
+		go l.disc.fetch(l.discCtx)
+	}
+	if l.set.Membership == "on_request" {
+		l.watching = true
+		go l.disc.watch(l.discCtx, l.seq)
 	}
 }
 
@@ -307,12 +341,12 @@
 		case policy.ActFollow:
 			if !l.watching {
 				l.watching = true
-				go l.disc.watch(l.ctx, l.seq)
+				go l.disc.watch(l.discCtx, l.seq)
 			}
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
-				go l.disc.fetch(l.ctx)
+				go l.disc.fetch(l.discCtx)
 			}
 		case policy.ActClose:
 			if b := l.backends[act.Server]; b != nil {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -104,6 +104,11 @@
 	return a.leave()
 }
 
+// Reconfigure takes over what may change while the agent runs: discovery's address.
+func (a *Agent) Reconfigure(c *Config) {
+	a.loop.post(input{kind: inMoved, addr: c.Discovery})
+}
+
 // leave ends the agent in order: clients go on coming for a while after the signal,
 // so idle connections are closed first, while what crosses that can still come on a
 // new one; then the listener; then all that is held is answered.
