Bound what all agents' windows together let a server hold

Windows grew as long as answers came well within the aim. In a burst both agents then had 3 to 4 attempts out at each server; from that many on a server turns several times slower and stays so until it has been nearly idle, which refused work never let it. Answer times tell too late, so the windows of all agents together are now bounded to 4 a server.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,6 +19,11 @@
 	// crowdFactor is how many times the fleet's calm answer time a calm server's may be.
 	crowdFactor = 1.5
 	firstWindow = 2.0 // attempts an unmeasured server may hold
+	// standing is how many attempts of all agents a server may hold, where each has grown
+	// its window to the most: one keeps it busy, and from a few more that wait for long on
+	// it turns several times slower and stays so. Answer times tell too late: in a burst
+	// the windows were long wide when they rose (case5409).
+	standing = 4.0
 	// learnFor is the number of answers that make the first measure of calm; until
 	// then no window grows, so that a start does not crowd what it measures.
 	learnFor = 50
@@ -675,10 +680,15 @@
 		}
 		b.cut(s, 0.85, least)
 	case s.lat < limit && float64(len(s.out)+2) > s.window && b.answers > learnFor:
-		s.window += min(1/s.window, s.window)
+		s.window = min(s.window+min(1/s.window, s.window), b.mostWindow())
 	}
 }
 
+// mostWindow is how far a server's window may grow: to this agent's part of what all may hold.
+func (b *Balancer) mostWindow() float64 {
+	return max(standing/max(float64(b.set.Replicas), 1), 1)
+}
+
 // weigh lets answer times set the weights that the list does not tell. Where crossing has
 // a price the own zone gets more in proportion, as long as it answers no slower than the
 // rest: what has more traffic than it can carry gets slower. A kind of machine that
@@ -863,7 +873,8 @@
 	s, since := b.byAddr[e.Server], finite(e.SinceMs)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since, credit: b.rng.Float64()}
+			window: min(firstWindow, b.mostWindow()), startedAt: since, listedAt: since,
+			credit: b.rng.Float64()}
 		b.byAddr[s.id] = s
 		own := mix(uint64(b.set.Index) + 1)
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
