Fail answers with bytes behind their end, and never read those as the next

net/http puts a connection back for use with the bytes behind an answer still in its buffer; where the next request is quick they become its answer, and an answer shorter than its stated body passed as whole. The connection now follows the answer's end itself: what lies behind it, or a head with both length and coding, makes the attempt fail as one that may have run, and a connection that got bytes unasked takes no request.

--- a/internal/agent/attempt_test.go
+++ b/internal/agent/attempt_test.go
@@ -142,6 +142,12 @@
 		{"half a chunked answer", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"), policy.Reset},
 		{"answer of unknown length", answer("HTTP/1.1 200 OK\r\n\r\ndone"), policy.Reset},
 		{"answer too long", answer("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537)), policy.Error},
+		{"bytes behind the answer", answer(okAnswer + "more"), policy.Reset},
+		{"two answers", answer("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad" + okAnswer), policy.Reset},
+		{"length and coding", answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), policy.Reset},
+		{"interim answer", answer("HTTP/1.1 103 Hints\r\nX: y\r\n\r\n" + okAnswer), policy.OK},
+		{"chunked answer", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"), policy.OK},
+		{"turned away until the close", answer("HTTP/1.1 503 No\r\nNot-Started: 1\r\n\r\nno"), policy.Full},
 		{"error", answer("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), policy.Error},
 		{"another success", answer("HTTP/1.1 204 No\r\n\r\n"), policy.Error},
 		{"503 that may have run", answer("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), policy.Error},
@@ -163,6 +169,34 @@
 	}
 }
 
+// What a backend sends behind an answer is never the answer to the next request.
+func TestSurplusIsNoAnswer(t *testing.T) {
+	const stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer+strings.Repeat(stray, n%2))
+		}
+	})
+	d := newDialer()
+	tr := d.newTransport()
+	defer tr.CloseIdleConnections()
+	ends := map[policy.Status]int{}
+	for i := range 50 {
+		res := newAttempt(tr, addr, http.MethodPost, never).run()
+		if res.status == policy.OK && string(res.body) != "done" {
+			t.Fatalf("attempt %d was answered %q", i, res.body)
+		}
+		ends[res.status]++
+	}
+	// A quick attempt may get the connection before it is closed: it never ran there.
+	if ends[policy.OK] == 0 || ends[policy.Reset] == 0 || ends[policy.OK]+ends[policy.Reset]+ends[policy.ConnectFailed] != 50 {
+		t.Fatalf("ended %v, want every other one reset", ends)
+	}
+}
+
 func TestRefusedConnection(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -24,6 +24,7 @@
 	errWithdrawn = errors.New("attempt withdrawn before its first byte")
 	errSockets   = errors.New("no socket left for a new connection")
 	errCancelled = errors.New("attempt cancelled")
+	errSurplus   = errors.New("answer: bytes behind its end, or an end in doubt")
 	errDrained   = errors.New("backend drains or is gone")
 )
 
@@ -78,7 +79,7 @@
 		d.open.Add(-1)
 		return nil, err
 	}
-	return &conn{Conn: c, dialer: d}, nil
+	return &conn{Conn: c, dialer: d, framing: framing{answerEnd: answerEnd{ended: true}}}, nil
 }
 
 // conn is a connection to a backend. It knows the attempt that it carries and asks
@@ -87,9 +88,21 @@
 	net.Conn
 	dialer  *dialer
 	attempt atomic.Pointer[attempt]
+	framing framing
 	closed  sync.Once
 }
 
+func (c *conn) Read(p []byte) (int, error) {
+	if c.framing.surplus() {
+		return 0, errSurplus
+	}
+	n, err := c.Conn.Read(p)
+	if got := c.framing.scan(p[:n]); got < n {
+		return got, errSurplus
+	}
+	return n, err
+}
+
 func (c *conn) Write(p []byte) (int, error) {
 	a := c.attempt.Load()
 	if a == nil || !a.begin(c) {
@@ -140,7 +153,10 @@
 	if a.conn.Load() != c {
 		return false
 	}
-	return a.stage.CompareAndSwap(waiting, sending) || a.stage.Load() == sending
+	if a.stage.Load() == sending {
+		return true
+	}
+	return c.framing.begin() && a.stage.CompareAndSwap(waiting, sending)
 }
 
 // withdraw stops an attempt of which no byte went out, and reports whether it is so.
@@ -196,6 +212,9 @@
 	if err != nil && resp.StatusCode == http.StatusOK {
 		return res, fmt.Errorf("answer: %w", err)
 	}
+	if a.conn.Load().framing.surplus() {
+		return res, errSurplus
+	}
 	switch {
 	case resp.StatusCode == http.StatusOK && len(body) <= maxBody:
 		res.status, res.body, res.kind = policy.OK, body, resp.Header.Get("Content-Type")
--- a/internal/agent/head.go
+++ b/internal/agent/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -51,3 +52,91 @@
 	defer h.mu.Unlock()
 	h.line, h.ended, h.length, h.coding = h.line[:0], false, false, false
 }
+
+// maxLine is how much of a line of an answer's head is kept: enough for what is read of it.
+const maxLine = 64
+
+// framing follows where the answer on a backend's connection ends, to notice bytes behind
+// it. net/http leaves those in its buffer, and where the next request is quick they are
+// taken for its answer.
+type framing struct {
+	mu sync.Mutex
+	answerEnd
+	over bool // bytes came behind the end, or before there was a request
+}
+
+// answerEnd is how far an answer has come.
+type answerEnd struct {
+	line     []byte // of the head, as far as it has come
+	started  bool   // the status line has come
+	interim  bool   // the head is of a 1xx answer: another follows
+	bodyless bool   // the status allows no body
+	sized    bool   // the head tells the body's length
+	coded    bool   // and that the body tells it
+	ended    bool   // the head has ended
+	open     bool   // the end shows in the body or by the close, and is not followed
+	left     int    // bytes of the body to come
+}
+
+// begin makes ready for the answer to the next request; not if bytes came unasked.
+func (f *framing) begin() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answerEnd = answerEnd{line: f.line[:0]}
+	return !f.over
+}
+
+// scan takes the bytes that the connection reads next, and returns how many are the answer's.
+func (f *framing) scan(p []byte) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := len(p)
+	for len(p) > 0 && !f.ended {
+		part, rest, whole := bytes.Cut(p, []byte("\n"))
+		f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
+		if !whole {
+			return all
+		}
+		f.head(strings.TrimSuffix(string(f.line), "\r"))
+		f.line, p = f.line[:0], rest
+	}
+	if f.open {
+		return all
+	}
+	surplus := max(len(p)-f.left, 0)
+	f.over = f.over || surplus > 0
+	f.left -= len(p) - surplus
+	return all - surplus
+}
+
+// head takes one line of the head. What makes no sense net/http refuses.
+func (f *framing) head(line string) {
+	name, value, _ := strings.Cut(line, ":")
+	switch {
+	case !f.started:
+		_, status, _ := strings.Cut(line, " ")
+		f.started, f.interim = true, strings.HasPrefix(status, "1")
+		f.bodyless = strings.HasPrefix(status, "204") || strings.HasPrefix(status, "304")
+	case line == "" && f.interim:
+		f.answerEnd = answerEnd{}
+	case line == "":
+		f.ended = true
+		f.over = f.over || f.sized && f.coded // its end can be read in two ways
+		f.open = !f.sized && !f.bodyless
+		if !f.sized || f.bodyless {
+			f.left = 0
+		}
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		f.coded = true
+	case strings.EqualFold(name, "Content-Length"):
+		n, _ := strconv.Atoi(strings.TrimSpace(value))
+		f.left, f.sized = max(n, 0), true
+	}
+}
+
+// surplus tells whether more came than the answer, or its end is in doubt.
+func (f *framing) surplus() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.over
+}
