--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -153,8 +153,11 @@
 	if a.conn.Load() != c {
 		return false
 	}
-	if a.stage.Load() == sending {
+	switch a.stage.Load() {
+	case sending:
 		return true
+	case over:
+		return false
 	}
 	return c.framing.begin() && a.stage.CompareAndSwap(waiting, sending)
 }
