Ask discovery again within 2 s, and take 'nothing changed' for an answer

After failures the wait to the next watch doubled up to 10 s, and an answered watch whose first line changed nothing was not told to the module, so that it never fell again: after a few ended watches the agent was without a watch for up to 10 s, while what discovery has to tell counts as told within 6 s. A silent watch is given up after 3.5 s; with 2 s more the next call is in time. The address that DEPLOY names changes on SIGHUP only; this is for discovery that went down and came back at the same one.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -516,6 +516,37 @@
 	}
 }
 
+// A watch that answers that nothing has changed has not failed: the next failure is the
+// first again, and the watch begins anew as soon as after one.
+func TestUnchangedListIsAnAnswer(t *testing.T) {
+	conf := config(nowhere, "127.0.0.1:1")
+	conf["settings"].(map[string]any)["membershipMode"] = "on_request"
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := newLoop(ctx, parse(t, conf), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := func() float64 { // and the wait until the next watch
+		l.handle(input{kind: inWatchEnded, err: io.EOF})
+		for _, act := range l.actions {
+			if act.Kind == policy.ActTimer {
+				return act.Ms
+			}
+		}
+		t.Fatal("the module does not ask again")
+		return 0
+	}
+	ended()
+	for range 5 {
+		ended()
+	}
+	l.handle(input{kind: inWatched, list: list(1, false)})
+	if again := ended(); again >= 1000 { // the first wait is 500 to 1000 ms, the second 1000 to 2000
+		t.Fatalf("asks again after %.0f ms, as after a second failure", again)
+	}
+}
+
 // A new process or address gets new connections; the backend stays the same.
 func TestNewProcessNewConnections(t *testing.T) {
 	l := quietLoop(t, "127.0.0.1:1")
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -202,7 +202,7 @@
 		switch {
 		case in.list.Whole:
 			l.learn(policy.ListFull, &in.list)
-		case in.list.Seq > l.seq:
+		case in.list.Seq >= l.seq: // of the same version: nothing changed, but the call was answered
 			l.learn(policy.ListDelta, &in.list)
 		}
 	case inWatchEnded:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -843,7 +843,7 @@
 	if ev.List == ListFailed {
 		b.follows++
 		if b.set.Membership == "on_request" {
-			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs)
+			wait := min(500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs/5)
 			b.do(Action{Kind: ActTimer, Ms: wait * (0.5 + 0.5*b.rng.Float64()), Token: followToken})
 		}
 		return
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -640,6 +640,20 @@
 	}
 }
 
+// Discovery that was away for long is asked again soon after it is back: what it has to
+// tell counts as told whether the agent waits or not.
+func TestListIsFollowedSoonAfterManyFailures(t *testing.T) {
+	set := testSettings()
+	set.Membership = "on_request"
+	r := newRig(t, set, 1)
+	for range 20 {
+		again := find(r.list(ListFailed), ActTimer)
+		if again == nil || again.Token != followToken || again.Ms > set.Contract.AskWithinMs/5 {
+			t.Fatalf("asked again too late: %+v", again)
+		}
+	}
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for key, spoil := range map[string]func(*Settings){
 		"classes":             func(s *Settings) { s.Classes = nil },
