Refuse a body with a class that is asked with GET

PROTOCOL: a class that is safe to repeat uses GET, without a body. One was passed on to a backend, which owes such a body no reading and may take it for the next request on the connection.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -230,6 +230,11 @@
 			t.Errorf("%s: answered %d", name, status)
 		}
 	}
+	look := call(base, "look")
+	look.Body, look.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+	if status, _, _ := do(t, look); status != http.StatusBadRequest {
+		t.Errorf("GET with a body: answered %d", status)
+	}
 	longest := call(base, "send")
 	longest.Body, longest.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", maxBody))), maxBody
 	longest.Header.Set("Request-Id", "longest")
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -298,6 +298,9 @@
 		}
 		return nil, &problem{http.StatusRequestTimeout, "body: did not come whole"}
 	}
+	if effect == policy.Free && len(r.body) > 0 {
+		return nil, &problem{http.StatusBadRequest, "body: this class is asked without one"}
+	}
 	return r, nil
 }
 
