--- a/internal/agent/attempt_test.go
+++ b/internal/agent/attempt_test.go
@@ -169,6 +169,42 @@
 	}
 }
 
+// An answer's head without an end is given up soon: the agent's memory is small.
+func TestEndlessHead(t *testing.T) {
+	const buffer, line = 64 << 10, "X-Line: nothing that anybody wants to know\r\n"
+	sent := make(chan int, 1)
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		n := 0
+		defer func() { sent <- n }()
+		c.(*net.TCPConn).SetWriteBuffer(buffer)
+		if _, err := readRequest(r); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for n < 64<<20 {
+			wrote, err := io.WriteString(c, line)
+			if n += wrote; err != nil {
+				return
+			}
+		}
+	})
+	d := newDialer()
+	plain := d.connect
+	d.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := plain(ctx, network, addr)
+		if err == nil {
+			c.(*net.TCPConn).SetReadBuffer(buffer) // so that what was sent tells what was read
+		}
+		return c, err
+	}
+	if res := newAttempt(d.newTransport(), addr, http.MethodPost, never).run(); res.status != policy.Reset {
+		t.Fatalf("ended %d, want reset", res.status)
+	}
+	if n := <-sent; n > 4<<20 {
+		t.Fatalf("the backend got rid of %d bytes of a head", n)
+	}
+}
+
 // What a backend sends behind an answer is never the answer to the next request.
 func TestSurplusIsNoAnswer(t *testing.T) {
 	const stray = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -57,6 +57,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: d.perHost,
 		IdleConnTimeout:     d.idle,
+		// What a head without an end may take of the memory, once for each attempt out.
+		MaxResponseHeaderBytes: maxBody,
 	}
 }
 
