Take no less than a quarter of the aim without an answer for silence

Silence was 8 expected answer times, divided by up to 3 attempts out. Where answers take 2 to 5 ms of an aim of 300 that is 10 to 20 ms: one costly request made its server Unhealthy.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -785,7 +785,8 @@
 			continue
 		}
 		a := s.out[0]
-		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+		// Where answers take a hundredth of the aim, eight of them are one costly request.
+		if b.now-max(s.heard, a.sentAt) >= max(b.expected(a.r)*8/float64(min(len(s.out), 3)), b.aimMin/4) {
 			b.demote(s, true)
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -473,6 +473,22 @@
 	t.Error("a server that answers nothing for 300 ms was not demoted")
 }
 
+// A costly request among very quick ones is no silence.
+func TestCostlyRequestIsNoSilence(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	for range 200 {
+		id, s := r.sent(0, uint64(r.b.rng.Int64()))
+		r.now += 2
+		r.outcome(id, 0, s, OK, 2)
+	}
+	_, s := r.sent(0, 9)
+	for range 5 {
+		if r.tick(10); r.b.byAddr[s].state == Unhealthy {
+			t.Fatal("a sixth of the aim was taken for silence")
+		}
+	}
+}
+
 // South's rough days: a server that failed often rests long while others can take
 // its requests, but is tried again at once while they are full.
 func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
