Bound what each of many agents has out to its even share while answers are slow

At fault: mostWindow rounds an agent's part of what a server may hold up to one, so eighty agents may hold eighty; and an agent meets a server every 3 s, its mean of that server's answer times tells after a minute. What it sees is its own answers, 20 a second: their mean logarithm shows twice the time within half a second.

--- /dev/null
+++ b/policy/crowd.go
@@ -0,0 +1,102 @@
+// This file holds the decisions on how much an agent sends where so many share the servers
+// that no window of its own can bound what all of them have out at a server.
+
+package policy
+
+import "math"
+
+const (
+	// paceWeight is the weight of an answer in the pace, the mean logarithm of answer times
+	// as parts of the aim: an agent that sees twenty answers a second knows within one that
+	// they take twice as long, which a mean of the times themselves would not tell.
+	paceWeight = 0.1
+	// paceRise and paceFall are how fast the calm pace follows the pace up and down.
+	paceRise, paceFall = 0.001, 0.05
+	// paceFactor is how many times the calm answer time shows that servers are crowded.
+	paceFactor = 2.5
+	// paceClip is how many times the calm answer time an answer counts for at the most: one
+	// bad server's are no crowd.
+	paceClip = 6.0
+	// paceSpan is how long the pace takes to be forgotten where nothing is answered, and
+	// roomSpan in how long the agent's room grows e-fold where answers are calm, in ms.
+	paceSpan, roomSpan = 3000.0, 1500.0
+	// roomMost is how many times its even share of what all servers may hold an agent may
+	// have out where they are calm: some agents have much more to send than most.
+	roomMost = 4.0
+)
+
+// many tells whether a window of one attempt an agent is more than a server should hold.
+func (b *Balancer) many() bool { return float64(b.set.Replicas) > 2*standing }
+
+// notePace takes the time of an answer, as a part of its aim.
+func (b *Balancer) notePace(x float64) {
+	if !b.many() {
+		return
+	}
+	x = math.Log(max(x, 1e-4))
+	b.refill()
+	b.paced++
+	if b.paced > learnFor {
+		x = min(x, b.calmPace+math.Log(paceClip))
+	}
+	b.pace += (x - b.pace) * max(paceWeight, 1/b.paced)
+	switch {
+	case b.paced <= learnFor:
+		b.calmPace += (x - b.calmPace) / b.paced
+		if b.paced == learnFor { // a crowd at the start is not taken for calm
+			b.calmPace = min(b.calmPace, math.Log(crowdShare/4))
+		}
+		return
+	case b.pace < b.calmPace:
+		b.calmPace += (b.pace - b.calmPace) * paceFall
+	default:
+		b.calmPace += (b.pace - b.calmPace) * paceRise
+	}
+	if b.crowding() > 0 {
+		b.room = min(b.room, b.evenRoom())
+	}
+}
+
+// crowding is how far the pace is above what may still be calm.
+func (b *Balancer) crowding() float64 { return b.pace - b.calmPace - math.Log(paceFactor) }
+
+// refill brings what depends on time up to now: the pace and the room.
+func (b *Balancer) refill() {
+	passed := b.now - b.refilledAt
+	b.refilledAt = b.now
+	b.pace = b.calmPace + (b.pace-b.calmPace)*math.Exp(-passed/paceSpan)
+	if b.crowding() <= 0 {
+		b.room *= math.Exp(passed / roomSpan)
+	}
+	b.room = min(b.room, max(roomMost*b.evenRoom(), 1))
+}
+
+// evenRoom is the agent's even share of what all servers that can be sent to may hold.
+func (b *Balancer) evenRoom() float64 {
+	n := 0.0
+	for _, s := range b.servers {
+		if s.usable && s.state != Unhealthy {
+			n += b.ramp(s)
+		}
+	}
+	return standing * n / float64(b.set.Replicas)
+}
+
+// mayAdd tells whether the agent has room for one more attempt. What has been out for
+// an aim counts no more: it waits on a bad server, or in a queue that others drain.
+func (b *Balancer) mayAdd() bool {
+	if !b.many() || b.paced <= learnFor {
+		return true
+	}
+	b.refill()
+	left := b.room
+	for _, s := range b.servers {
+		for _, a := range s.out {
+			if b.now-a.sentAt < b.aimMin {
+				left--
+			}
+		}
+	}
+	// Room for less than one is kept by pausing.
+	return left >= 1 || left > 0 && b.now-b.sentAt >= math.Exp(b.pace)*b.aimMin/left
+}
--- a/policy/limits_test.go
+++ b/policy/limits_test.go
@@ -9,7 +9,7 @@
 // The auditor charges per page: the decisions stay within the agreed size.
 func TestPolicySize(t *testing.T) {
 	all := 0
-	for _, name := range []string{"policy.go", "list.go"} {
+	for _, name := range []string{"policy.go", "list.go", "crowd.go"} {
 		text, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,7 +72,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, usage: make([]float64, len(set.Tenants)),
-		home: ownZone, aimMin: math.Inf(1), lookedAt: math.Inf(-1),
+		home: ownZone, aimMin: math.Inf(1), room: math.Inf(1), lookedAt: math.Inf(-1),
 		recentKeys: keyCounter{count: map[uint64]int{}}}
 	for i := range b.kinds {
 		b.kinds[i].weight = 1
@@ -87,7 +87,7 @@
 
 // Start gives the first actions of a new agent and appends them to out.
 func (b *Balancer) Start(now float64, out []Action) []Action {
-	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt = now, out, now, now, now, now
+	b.now, b.out, b.began, b.triedAt, b.recentAt, b.flowAt, b.refilledAt = now, out, now, now, now, now, now
 	if b.set.Membership == "on_request" {
 		b.firstFollow()
 	}
@@ -222,7 +222,7 @@
 	})
 	// One that waits for its key's servers is passed over; of others a few failures tell.
 	b.scarce = false
-	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry(); {
+	for i, failures := 0, 0; i < len(b.held) && failures < 4 && b.mayTry() && b.mayAdd(); {
 		r := b.held[i]
 		if near := r.near; b.waits(r) && near[0] != nil && r.epoch == b.epoch &&
 			!b.takes(near[0], r) && !b.takes(near[1], r) {
@@ -486,6 +486,7 @@
 	}
 	s.sentAt = b.now
 	b.inflight++
+	b.sentAt = b.now
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
@@ -647,6 +648,7 @@
 		b.won[r.class] += 1 - fade
 	}
 	x := b.partOfAim(r, rtt)
+	b.notePace(x)
 	b.answers++
 	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
 	switch {
--- a/policy/state.go
+++ b/policy/state.go
@@ -157,6 +157,12 @@
 	triedAt    float64
 	began      float64
 	seen       float64 // requests since
+	pace       float64 // mean logarithm of answer times as parts of the aim
+	calmPace   float64 // the same when nothing is crowded
+	paced      float64 // answers in them
+	room       float64 // attempts that the agent may have out, as of refilledAt
+	refilledAt float64
+	sentAt     float64 // last attempt
 	ticking    bool
 	scarce     bool // requests that would take any server find no room
 }
