Look at a slow server by a probe, and leave it while it reports to hold too much

An agent meets a server every 3 s: a late answer cuts its window from 1 to 0.85, which is nothing; after silence the server waits one aim, a probe is answered within 2 ms beside the queue, and it counts as Connected again.

At fault: served and watchSilence, which want a dozen answers or eight answer times before they act, and onProbed, which did not read the report. Now half an aim without an answer, or an answer that took so long, makes a server UnhealthyPending, and the probe's inflight, above what all agents may have out there, makes it Unhealthy.

--- a/policy/crowd.go
+++ b/policy/crowd.go
@@ -3,7 +3,10 @@
 
 package policy
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	// paceWeight is the weight of an answer in the pace, the mean logarithm of answer times
@@ -100,3 +103,33 @@
 	// Room for less than one is kept by pausing.
 	return left >= 1 || left > 0 && b.now-b.sentAt >= math.Exp(b.pace)*b.aimMin/left
 }
+
+// suspect tells whether an answer, or the time without one, as a part of the aim, is a
+// reason to look how a server is. By its answers alone an agent that meets a server every
+// few seconds would send it a dozen requests before it knew that it is choked.
+func (b *Balancer) suspect(x float64) bool {
+	return b.many() && b.set.Limits.Probing && x > crowdShare
+}
+
+// crowded tells whether a server reports more requests than all agents may have out at it.
+// Its probes are answered beside the queue, and say nothing of that otherwise.
+func (b *Balancer) crowded(report []float32) bool {
+	i := slices.Index(b.set.Report.Names, "inflight")
+	return b.many() && i >= 0 && i < len(report) && report[i] > standing
+}
+
+// lapse is how long a server waits for its validation before it counts as healthy again.
+func (b *Balancer) lapse() float64 {
+	if b.many() {
+		return 10 * b.aimMin
+	}
+	return b.aimMin
+}
+
+// probeCap bounds the validations under way at once.
+func (b *Balancer) probeCap() int {
+	if b.many() {
+		return max(leastProbes, len(b.servers)/8)
+	}
+	return leastProbes
+}
--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -60,3 +60,46 @@
 		t.Errorf("%d attempts out at calm servers, %d at crowded ones", calm, slow)
 	}
 }
+
+// lateAt lets a server answer one request late, and returns it.
+func (r *rig) lateAt(rtt float64) *server {
+	r.t.Helper()
+	id, s := r.sent(0, 7)
+	r.now += rtt
+	r.outcome(id, 0, s, OK, rtt)
+	return r.b.byAddr[s]
+}
+
+// An agent that meets a server once in a few seconds looks how it is after one answer
+// that took half the aim, and sends it nothing while it reports to hold too much.
+func TestLateAnswerIsLookedInto(t *testing.T) {
+	for _, c := range []struct {
+		inflight float32
+		want     State
+	}{{2, Connected}, {12, Unhealthy}} {
+		r := newRig(t, manySettings(), 4)
+		srv := r.lateAt(200)
+		_, actions := r.ask(0, 7)
+		if a := find(actions, ActProbe); a == nil || a.Server != srv.id {
+			t.Fatalf("the server was not looked at: %+v", actions)
+		}
+		if a := find(actions, ActSend); a == nil || a.Server == srv.id {
+			t.Fatalf("the request waited for the probe or went to the server in doubt: %+v", actions)
+		}
+		r.now += 2
+		r.do(Event{Kind: EvProbed, Server: srv.id, Status: OK, Report: []float32{1, c.inflight}})
+		if srv.state != c.want {
+			t.Errorf("state %d after a report of %v in flight, want %d", srv.state, c.inflight, c.want)
+		}
+	}
+}
+
+// The same where no answer comes: the request does not have to end first.
+func TestNoAnswerIsLookedInto(t *testing.T) {
+	r := newRig(t, manySettings(), 4)
+	_, s := r.sent(0, 7)
+	r.tick(160)
+	if _, actions := r.ask(0, 8); find(actions, ActProbe) == nil || find(actions, ActProbe).Server != s {
+		t.Errorf("half an aim without an answer and no probe: %+v", actions)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,8 +58,8 @@
 	// coldMargin is what an even share may cost a cold server, in its present capacity:
 	// warm ones may be crowded by half and save three quarters by their warm keys.
 	coldMargin = 8.0
-	// probeCap bounds the validations under way at once.
-	probeCap = 2
+	// leastProbes bounds the validations under way at once.
+	leastProbes = 2
 
 	tickToken, followToken = 1, 2
 )
@@ -287,7 +287,7 @@
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
 		once := b.set.Classes[r.class].Effect == SingleShot
-		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
+		if once || b.set.Limits.Probing && b.now-s.since < b.lapse() {
 			return 1
 		}
 	}
@@ -665,6 +665,12 @@
 	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
 		return // sent before the failure: says nothing about what came after
 	}
+	if b.suspect(x) {
+		if s.state <= Unknown {
+			b.enter(s, UnhealthyPending)
+		}
+		return
+	}
 	if s.state != Connected {
 		b.enter(s, Connected)
 	}
@@ -787,6 +793,11 @@
 			continue
 		}
 		a := s.out[0]
+		if !a.checked && s.state <= Unknown && b.suspect((b.now-a.sentAt)/b.set.Classes[a.r.class].AimMs) {
+			a.checked = true
+			b.enter(s, UnhealthyPending)
+			continue
+		}
 		// Where answers take a hundredth of the aim, eight of them are one costly request.
 		if b.now-max(s.heard, a.sentAt) >= max(b.expected(a.r)*8/float64(min(len(s.out), 3)), b.aimMin/4) {
 			b.demote(s, true)
@@ -803,7 +814,7 @@
 			b.refetch()
 		}
 		pending := s.state == UnhealthyPending && s.usable
-		if pending && b.set.Limits.Probing && !s.probing && b.probes < probeCap {
+		if pending && b.set.Limits.Probing && !s.probing && b.probes < b.probeCap() {
 			s.probing = true
 			b.probes++
 			b.do(Action{Kind: ActProbe, Server: s.id})
@@ -820,6 +831,9 @@
 	b.probes--
 	switch {
 	case s.state != UnhealthyPending:
+	case ev.Status == OK && b.crowded(ev.Report):
+		s.heard = b.now
+		b.demote(s, true)
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
--- a/policy/state.go
+++ b/policy/state.go
@@ -41,13 +41,14 @@
 
 // attempt is one send of a request.
 type attempt struct {
-	r      *request
-	s      *server
-	index  int
-	sentAt float64
-	alone  bool // no other of this agent was out on its server
-	cost   float64
-	done   bool
+	r       *request
+	s       *server
+	index   int
+	sentAt  float64
+	alone   bool // no other of this agent was out on its server
+	cost    float64
+	checked bool // its server was looked at as it did not answer
+	done    bool
 }
 
 // request is one try of a client, kept until it is answered and no attempt is out.
