Take requests back from a server found crowded or silent

At fault: onProbed, which demotes the server and leaves its attempts. They are cancelled now where the class may run again, and compete for another server or are refused at once.

--- a/policy/crowd.go
+++ b/policy/crowd.go
@@ -133,3 +133,17 @@
 	}
 	return leastProbes
 }
+
+// takeBack gives up what is out at a server that was found crowded or silent, to be sent
+// elsewhere while there is time: what waits there is late, and keeps the server choked.
+func (b *Balancer) takeBack(s *server) {
+	if !b.many() || !b.set.Limits.Cancelling {
+		return
+	}
+	for _, a := range s.out {
+		c := &b.set.Classes[a.r.class]
+		if !a.r.closed && !a.r.started && (c.Effect == Free || c.Effect == Guarded && c.Group == GroupAll) {
+			b.do(Action{Kind: ActCancel, Request: a.r.id, Attempt: a.index})
+		}
+	}
+}
--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -103,3 +103,26 @@
 		t.Errorf("half an aim without an answer and no probe: %+v", actions)
 	}
 }
+
+// Requests that wait at a server found crowded are given up there and go elsewhere, but
+// those that must not run twice.
+func TestCrowdedServersRequestsAreTakenBack(t *testing.T) {
+	for class, back := range []bool{true, false, true} {
+		r := newRig(t, manySettings(), 4)
+		id, s := r.sent(class, 7)
+		r.tick(160)
+		r.ask(0, 8)
+		actions := r.do(Event{Kind: EvProbed, Server: s, Status: OK, Report: []float32{1, 12}})
+		a := find(actions, ActCancel)
+		if back != (a != nil && a.Request == id) {
+			t.Fatalf("class %d: taken back: %v, want %v: %+v", class, a != nil, back, actions)
+		}
+		if !back {
+			continue
+		}
+		actions = r.outcome(id, 0, s, Cancelled, 160)
+		if a := find(actions, ActSend); a == nil || a.Request != id || a.Server == s {
+			t.Errorf("class %d: did not go elsewhere: %+v", class, actions)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -834,6 +834,7 @@
 	case ev.Status == OK && b.crowded(ev.Report):
 		s.heard = b.now
 		b.demote(s, true)
+		b.takeBack(s)
 	case ev.Status == OK:
 		b.heardFrom(s)
 		b.enter(s, Connected)
@@ -843,6 +844,7 @@
 		b.demote(s, false)
 	case ev.Status != Full:
 		b.demote(s, true)
+		b.takeBack(s)
 	}
 }
 
