Let a choked server rest, and leave less room where servers leave at once

A choked server is well again only after it was mostly idle for seconds.

At fault: holdFor, whose first hold is one aim for any failure, and room for four even shares, which an agent uses up before answers get slow.

Few agents decide as before.

--- a/policy/crowd.go
+++ b/policy/crowd.go
@@ -25,7 +25,11 @@
 	paceSpan, roomSpan = 3000.0, 1500.0
 	// roomMost is how many times its even share of what all servers may hold an agent may
 	// have out where they are calm: some agents have much more to send than most.
-	roomMost = 4.0
+	roomMost = 1.5
+	// leastRest is for how many aims at the least a server that was found crowded or silent
+	// gets nothing: one that choked is well again only when it has been idle for as long,
+	// and eighty agents that each look sooner and send one request keep it busy.
+	leastRest = 8.0
 )
 
 // many tells whether a window of one attempt an agent is more than a server should hold.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -782,6 +782,9 @@
 	if !b.set.Limits.Probing {
 		hold = max(hold, b.set.Limits.KeepaliveMs*float64(b.subset())/max(b.recent, 1))
 	}
+	if b.many() && s.silent {
+		return hold * min(leastRest*float64(int(1)<<max(s.strikes-1, 0)), 2*leastRest)
+	}
 	return hold * float64(int(1)<<max(s.strikes-1, 0))
 }
 
