--- a/policy/crowd.go
+++ b/policy/crowd.go
@@ -1,5 +1,6 @@
-// This file holds the decisions on how much an agent sends where so many share the servers
-// that no window of its own can bound what all of them have out at a server.
+// This file holds the decisions on how much an agent sends, and on how it knows a crowded
+// server, where so many share the servers that no window of its own can bound what all of
+// them have out at one.
 
 package policy
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // This file holds the decisions but those on the list of servers, which are in
-// policy/list.go. Their interface, the settings, events, actions and states, is in
-// policy/types.go.
+// policy/list.go, and those that a large fleet needs, in policy/crowd.go. Their interface,
+// the settings, events, actions and states, is in policy/types.go.
 
 package policy
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,7 +6,7 @@
 )
 
 // This file holds what a Balancer remembers and plain arithmetic on it; the
-// decisions are in policy.go.
+// decisions are in policy.go, list.go and crowd.go.
 
 // server is what the agent knows of one listed server.
 type server struct {
