Send cold servers of a fleet what warm ones answer, by their ramp

A cold server at half its ramp got 4 to 6 requests a second and answered them in 30 to 60 ms, a warm one 20 to 25 in 130 to 200 ms: a quarter of its ramp.

Checked: the cold ones were listed in time (lists of all changes at each agent), were not demoted and their windows were open; 15 to 30 of 88 had credit. So the credit held them back. It gave half of the ramp's share, by coldMargin, for two reasons: warm servers may save three quarters by their warm keys, and may be crowded by half. The second can't be: only answers earn credit, and a warm server answers no more than it can. A wider room for agents and attempts taken back from queues were ruled out as the mend: both let warm servers choke.

Lines: coldMargin in policy/policy.go, read by coldShare.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,8 +56,9 @@
 	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
 	coldBurst = 1.0
 	// coldMargin is what an even share may cost a cold server, in its present capacity:
-	// warm ones may be crowded by half and save three quarters by their warm keys.
-	coldMargin = 8.0
+	// warm ones answer at most all that they can, and may save three quarters of it by
+	// their warm keys.
+	coldMargin = 4.0
 	// leastProbes bounds the validations under way at once.
 	leastProbes = 2
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -357,6 +357,41 @@
 	}
 }
 
+// Where half of the servers are new, the agents of a large fleet together send a cold one
+// half or more of what it can do by its ramp, of which a warm one answers all, and no more.
+func TestLargeFleetUsesColdServers(t *testing.T) {
+	set := manySettings()
+	set.Replicas, set.Contract.FallMultiple = 300, 4
+	const servers, each = 24, 200
+	sends, ramp := [2]float64{}, 0.0 // to warm and to cold servers
+	for i := range set.Replicas {
+		set.Index = i
+		r := newRig(t, set, servers/2)
+		for s := range servers / 2 {
+			r.list(ListDelta, Entry{Server: addr(servers/2 + s), Health: Ready, Weight: 1, SinceMs: r.now - set.Contract.ColdMs/4})
+		}
+		for range each {
+			r.now += 10
+			id, actions := r.ask(0, 0)
+			if a := find(actions, ActSend); a != nil {
+				cold := r.b.ramp(r.b.byAddr[a.Server])
+				if cold < 1 {
+					sends[1]++
+					ramp += cold
+				} else {
+					sends[0]++
+				}
+				r.now += 20
+				r.outcome(id, 0, a.Server, OK, 20)
+			}
+		}
+	}
+	share := sends[1] / sends[0] / (ramp / sends[1])
+	if share < 0.45 || share > 1 {
+		t.Errorf("a cold server got %.2f of its ramp's part of what a warm one got, want half of it to all", share)
+	}
+}
+
 // A day with one agent and four servers: the first answers were quick (a few hot
 // keys), and what came after counted as crowded at one attempt a server, for good.
 func TestLoneAgentLearnsThatItsServersAreCalm(t *testing.T) {
