Let half of an agent's subset be of its own zone where crossing has a price

The own zone weighs up to ten times as much in a key's order.

Checked: the weight is not what is missing. An agent sends to its subset of 16 and more servers, and these are the first in an order that knows nothing of zones: with five or six zones three of 16 are of the own one, and each takes one attempt of an agent. The own zone was not slower than the rest (68 to 82 ms by zone, 3 to 7 s).

Lines: the order of b.servers in update, read by pick. An own server's place in it is now divided by the number of zones in the list, which makes about half of the subset its own however many there are; the weight goes on moving load to where answers are quicker.

--- a/policy/list.go
+++ b/policy/list.go
@@ -60,6 +60,13 @@
 	}
 	b.follows = 0
 	b.epoch++
+	if b.zones == 0 {
+		zones := map[int]bool{}
+		for i := range ev.Entries {
+			zones[ev.Entries[i].Zone] = true
+		}
+		b.zones = uint64(len(zones))
+	}
 	named := map[Addr]bool{}
 	for i := range ev.Entries {
 		named[ev.Entries[i].Server] = true
@@ -86,9 +93,9 @@
 			window: min(firstWindow, b.mostWindow()), startedAt: since, listedAt: since,
 			credit: b.rng.Float64()}
 		b.byAddr[s.id] = s
-		own := mix(uint64(b.set.Index) + 1)
+		s.zone = e.Zone
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(mix(x.hash^own), mix(y.hash^own))
+			return cmp.Compare(b.distance(x), b.distance(y))
 		})
 		b.servers = slices.Insert(b.servers, i, s)
 	}
@@ -106,3 +113,13 @@
 		s.weight = w
 	}
 }
+
+// distance is a server's place in the agent's own order, whose first ones are its subset.
+// Where crossing has a price about half of them are of the agent's own zone.
+func (b *Balancer) distance(s *server) uint64 {
+	d := mix(s.hash ^ mix(uint64(b.set.Index)+1))
+	if s.zone == b.set.Zone && b.set.Prices.CrossZone > 0 {
+		d /= max(b.zones, 1)
+	}
+	return d
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1038,6 +1038,50 @@
 	}
 }
 
+// Where crossing has a price, about half of a subset is of the agent's own zone, however
+// many zones there are, and most requests stay in it; all agents use all servers even so.
+func TestSubsetPrefersTheOwnZone(t *testing.T) {
+	for _, c := range []struct {
+		zones int
+		price float64
+		least float64 // part of the requests that stay in their zone, and the most
+		most  float64
+	}{{1, 0.1, 1, 1}, {2, 0.1, 0.7, 1}, {6, 0.1, 0.6, 0.95}, {6, 0, 0.1, 0.4}} {
+		const agents, servers, each = 60, 120, 100
+		own, all := 0, map[Addr]bool{}
+		for i := range agents {
+			set := manySettings()
+			set.Index, set.Replicas, set.Zone = i, agents, i%c.zones
+			set.Limits.KeepaliveMs, set.Prices.Handshake, set.Prices.CrossZone = 10000, 0.1, c.price
+			b, err := New(set, uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, zone := &rig{t: t, b: b, now: 1e6}, map[Addr]int{}
+			entries := make([]Entry, servers)
+			for s := range entries {
+				entries[s] = Entry{Server: addr(s), Health: Ready, Weight: 1, Zone: s % c.zones}
+				zone[addr(s)] = s % c.zones
+			}
+			r.list(ListCached, entries...)
+			for range each {
+				r.now += 100
+				id, s := r.sent(0, b.rng.Uint64())
+				r.outcome(id, 0, s, OK, 20)
+				if all[s] = true; zone[s] == set.Zone {
+					own++
+				}
+			}
+		}
+		if share := float64(own) / agents / each; share < c.least || share > c.most {
+			t.Errorf("%d zones, price %v: %.2f stayed in their zone, want %v to %v", c.zones, c.price, share, c.least, c.most)
+		}
+		if len(all) < servers*9/10 {
+			t.Errorf("%d zones, price %v: %d of %d servers used", c.zones, c.price, len(all), servers)
+		}
+	}
+}
+
 // id753de: a quiet agent checked each slow server again after one aim, with a request.
 func TestQuietAgentHoldsAFailedServerLonger(t *testing.T) {
 	for _, probing := range []bool{false, true} {
--- a/policy/state.go
+++ b/policy/state.go
@@ -150,6 +150,7 @@
 	failing    float64 // attempts that ended of late, less what the earned ones allow; as of triedAt
 	recent     float64 // requests of late, over the keepalive time, as of recentAt
 	recentAt   float64
+	zones      uint64  // of the servers in the first list
 	home       float64 // weight of the own zone's servers, and mean answer times there and elsewhere
 	homeLat    float64
 	awayLat    float64
