Leave a server found crowded until it reports to be at rest

Cause: a server that choked stays slow until it has been mostly idle. Agents found it crowded and rested it for 8 aims, each at its own time, and took a report of 4 in flight after that for health: crowded() asked the same of a server that is to return as of one in doubt. So some agent always sent, and what they sent together kept it busy at a third of its speed.

--- a/policy/crowd.go
+++ b/policy/crowd.go
@@ -31,6 +31,10 @@
 	// gets nothing: one that choked is well again only when it has been idle for as long,
 	// and eighty agents that each look sooner and send one request keep it busy.
 	leastRest = 8.0
+	// atRest is how many requests a server that was found crowded may report to hold when it
+	// is sent to again: one, as reports are a little noisy. With a few it is still busy all
+	// the time, and stays as slow as it is.
+	atRest = 1.5
 )
 
 // many tells whether a window of one attempt an agent is more than a server should hold.
@@ -116,11 +120,16 @@
 	return b.many() && b.set.Limits.Probing && x > crowdShare
 }
 
-// crowded tells whether a server reports more requests than all agents may have out at it.
-// Its probes are answered beside the queue, and say nothing of that otherwise.
-func (b *Balancer) crowded(report []float32) bool {
+// crowded tells whether a server reports more requests than all agents may have out at it,
+// or, once it was found so, that it is not yet at rest. Its probes are answered beside the
+// queue, and say nothing of that otherwise.
+func (b *Balancer) crowded(s *server, report []float32) bool {
 	i := slices.Index(b.set.Report.Names, "inflight")
-	return b.many() && i >= 0 && i < len(report) && report[i] > standing
+	most := float32(standing)
+	if s.choked {
+		most = atRest
+	}
+	return b.many() && i >= 0 && i < len(report) && report[i] > most
 }
 
 // lapse is how long a server waits for its validation before it counts as healthy again.
--- a/policy/crowd_test.go
+++ b/policy/crowd_test.go
@@ -154,3 +154,37 @@
 		t.Error("not looked at again after 17 aims")
 	}
 }
+
+// A server that choked stays slow until it has been idle. What reports to hold a few
+// requests still, after its rest, is left again; what reports hardly any is sent to.
+func TestCrowdedServerIsLeftUntilItIsIdle(t *testing.T) {
+	r := newRig(t, manySettings(), 4)
+	srv := r.lateAt(200)
+	report := func(inflight float32) {
+		t.Helper()
+		for ; !srv.probing; r.now += 100 {
+			if id, actions := r.ask(0, 8); find(actions, ActSend) != nil {
+				s := find(actions, ActSend).Server
+				if s == srv.id {
+					t.Fatal("sent to the crowded server")
+				}
+				r.outcome(id, 0, s, OK, 20)
+			}
+		}
+		r.do(Event{Kind: EvProbed, Server: srv.id, Status: OK, Report: []float32{1, inflight}})
+	}
+	report(12)
+	report(standing - 1)
+	if srv.state != Unhealthy {
+		t.Errorf("state %d with %v in flight after the rest, want %d", srv.state, standing-1, Unhealthy)
+	}
+	report(1)
+	if srv.state != Connected {
+		t.Errorf("state %d once idle, want %d", srv.state, Connected)
+	}
+	srv = r.lateAt(200) // a healthy one may hold a few
+	report(standing - 1)
+	if srv.state != Connected {
+		t.Errorf("state %d of a server with %v in flight, want %d", srv.state, standing-1, Connected)
+	}
+}
--- a/policy/list.go
+++ b/policy/list.go
@@ -104,7 +104,7 @@
 		// starts at random: of many agents that each earn it a part of one request, as
 		// many send one as the parts add up to; from 0 none would before it is warm.
 		s.listedAt = since
-		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
+		s.startedAt, s.state, s.since, s.silent, s.choked = since, Unknown, b.now, false, false
 		s.strikes, s.good, s.lat, s.samples, s.window, s.credit = 0, 0, 0, 0, 1, b.rng.Float64()
 	}
 	s.zone, s.cell, s.kind, s.usable = e.Zone, e.Cell, e.Kind, e.Health == Ready
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -663,7 +663,7 @@
 	}
 	b.learn(s, x)
 	limit := b.limit(s)
-	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
+	if s.state == Unhealthy && a.sentAt < s.since && (!s.silent || s.choked) {
 		return // sent before the failure: says nothing about what came after
 	}
 	if b.suspect(x) {
@@ -835,11 +835,12 @@
 	b.probes--
 	switch {
 	case s.state != UnhealthyPending:
-	case ev.Status == OK && b.crowded(ev.Report):
-		s.heard = b.now
+	case ev.Status == OK && b.crowded(s, ev.Report):
+		s.heard, s.choked = b.now, true
 		b.demote(s, true)
 		b.takeBack(s)
 	case ev.Status == OK:
+		s.choked = false
 		b.heardFrom(s)
 		b.enter(s, Connected)
 	case ev.Status == Error || ev.Status == Reset:
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,6 +21,7 @@
 	usable    bool    // listed as ready
 	state     State
 	since     float64 // when the state was entered
+	choked    bool    // found crowded, and not at rest since
 	silent    bool    // demoted for silence, not for an answer
 	lostAt    float64 // first failed connect since it last answered; 0: none
 	strikes   int     // how often it failed of late; sets the hold
