--- /dev/null
+++ b/internal/lab/client/load.go
@@ -0,0 +1,221 @@
+// Package client plays the calling applications: an open loop of requests that are drawn
+// ahead from the seed and never wait for answers.
+package client
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Class is one class of requests.
+type Class struct {
+	Name   string        `koanf:"name"`
+	Share  float64       `koanf:"share"`
+	Work   float64       `koanf:"work"` // mean, in standard-core ms
+	Dist   string        `koanf:"dist"` // "exp", "fixed" or "lognormal"
+	CV     float64       `koanf:"cv"`   // of lognormal
+	Aim    time.Duration `koanf:"aim"`
+	GiveUp time.Duration `koanf:"give_up"`
+	Worth  float64       `koanf:"worth"`
+	Effect string        `koanf:"effect"` // "free", "guarded" or "single_shot"
+	Group  string        `koanf:"group"`
+	KeyTTL time.Duration `koanf:"key_ttl"`
+}
+
+// Load is what the clients of a fleet ask, and how they take an answer.
+type Load struct {
+	Rate      float64       `koanf:"rate"`     // first tries a second, of all agents together
+	AgentCV   float64       `koanf:"agent_cv"` // how unevenly agents share it
+	Keys      int           `koanf:"keys"`
+	Zipf      float64       `koanf:"zipf"`
+	Retries   int           `koanf:"retries"`
+	Backoff   string        `koanf:"backoff"` // "none", "fixed" or "exp"
+	BackoffBy time.Duration `koanf:"backoff_by"`
+	Honour    float64       `koanf:"honour"`    // share of the clients that heed Retry-After
+	TryShare  []float64     `koanf:"try_share"` // from and to: part of the give-up time that a try waits
+	Impatient float64       `koanf:"impatient"` // share of the tries that are left early
+	Body      int           `koanf:"body"`      // bytes of a request that has a body
+	Class     []Class       `koanf:"class"`
+}
+
+// Change is a time in which the load differs: times Factor, and one in 1/Heavy requests
+// of a class that many times the work.
+type Change struct {
+	From, To time.Duration
+	Factor   float64
+	Rise     time.Duration // from 1 to the factor, and back
+	Class    string        // of the heavy ones; "" is all
+	Heavy    float64       // share
+	Times    float64       // their work
+}
+
+// Arrival is one request as it is drawn.
+type Arrival struct {
+	At    time.Duration
+	Class int
+	Key   uint64
+	Work  float64
+	Try   time.Duration // what its first try waits
+	Leave time.Duration // after which it is left early; 0: never
+	Heed  bool
+	Seed  uint64 // of what its retries draw
+}
+
+// Draw draws the arrivals of each agent up to the end, from the seed alone.
+func Draw(l *Load, agents int, end time.Duration, changes []Change, seed uint64) [][]Arrival {
+	weights := Weights(l, agents, seed)
+	all := make([][]Arrival, agents)
+	zipf := newZipf(l.Keys, l.Zipf)
+	for i := range all {
+		all[i] = draw(l, zipf, weights[i]*l.Rate, end, changes, rand.New(rand.NewPCG(seed, 1000+uint64(i))))
+	}
+	return all
+}
+
+// Weights gives each agent's part of the traffic; they add up to 1.
+func Weights(l *Load, agents int, seed uint64) []float64 {
+	rng := rand.New(rand.NewPCG(seed, 999))
+	w, sum := make([]float64, agents), 0.0
+	for i := range w {
+		w[i] = 1
+		if l.AgentCV > 0 {
+			w[i] = lognormal(rng, 1, l.AgentCV)
+		}
+		sum += w[i]
+	}
+	for i := range w {
+		w[i] /= sum
+	}
+	return w
+}
+
+func draw(l *Load, keys *zipf, rate float64, end time.Duration, changes []Change, rng *rand.Rand) []Arrival {
+	most := 1.0
+	for _, c := range changes {
+		most *= max(c.Factor, 1)
+	}
+	var out []Arrival
+	if rate <= 0 {
+		return nil
+	}
+	for at := 0.0; ; {
+		at += rng.ExpFloat64() / (rate * most)
+		t := time.Duration(at * float64(time.Second))
+		if t >= end {
+			return out
+		}
+		// Thinning: the draw is at the highest rate there is, and kept by the present one.
+		now := 1.0
+		for i := range changes {
+			now *= changes[i].factor(t)
+		}
+		if rng.Float64()*most >= now {
+			continue
+		}
+		out = append(out, one(l, keys, t, changes, rng))
+	}
+}
+
+func one(l *Load, keys *zipf, t time.Duration, changes []Change, rng *rand.Rand) Arrival {
+	a := Arrival{At: t, Class: pick(l, rng), Seed: rng.Uint64()}
+	c := &l.Class[a.Class]
+	switch c.Dist {
+	case "fixed":
+		a.Work = c.Work
+	case "lognormal":
+		a.Work = lognormal(rng, c.Work, c.CV)
+	default:
+		a.Work = c.Work * rng.ExpFloat64()
+	}
+	for i := range changes {
+		if h := &changes[i]; h.Heavy > 0 && t >= h.From && t < h.To && (h.Class == "" || h.Class == c.Name) && rng.Float64() < h.Heavy {
+			a.Work *= h.Times
+		}
+	}
+	if l.Keys > 0 {
+		a.Key = keys.draw(rng) + 1
+	}
+	share := 1.0
+	if len(l.TryShare) == 2 {
+		share = l.TryShare[0] + rng.Float64()*(l.TryShare[1]-l.TryShare[0])
+	}
+	a.Try = time.Duration(share * float64(c.GiveUp))
+	a.Heed = rng.Float64() < l.Honour
+	if rng.Float64() < l.Impatient {
+		a.Leave = time.Duration(rng.Float64() * float64(a.Try))
+	}
+	return a
+}
+
+// factor is the part of the usual load at a time.
+func (c *Change) factor(t time.Duration) float64 {
+	if c.Factor <= 0 || t < c.From || t >= c.To {
+		return 1
+	}
+	part := 1.0
+	if c.Rise > 0 {
+		part = min(1, float64(t-c.From)/float64(c.Rise), float64(c.To-t)/float64(c.Rise))
+	}
+	return 1 + (c.Factor-1)*part
+}
+
+func pick(l *Load, rng *rand.Rand) int {
+	x, sum := rng.Float64(), 0.0
+	for _, c := range l.Class {
+		sum += c.Share
+	}
+	for i, c := range l.Class {
+		if x -= c.Share / sum; x < 0 {
+			return i
+		}
+	}
+	return len(l.Class) - 1
+}
+
+// lognormal draws with a mean and a coefficient of variation.
+func lognormal(rng *rand.Rand, mean, cv float64) float64 {
+	s2 := math.Log(1 + cv*cv)
+	return mean * math.Exp(rng.NormFloat64()*math.Sqrt(s2)-s2/2)
+}
+
+// zipf draws ranks by popularity. The library's draws want an exponent above 1, and
+// sites name exponents from 0.9 on, so the sum is built here.
+type zipf struct{ sum []float64 }
+
+func newZipf(n int, s float64) *zipf {
+	z := &zipf{sum: make([]float64, max(n, 1))}
+	total := 0.0
+	for i := range z.sum {
+		total += math.Pow(float64(i+1), -s)
+		z.sum[i] = total
+	}
+	return z
+}
+
+func (z *zipf) draw(rng *rand.Rand) uint64 {
+	x := rng.Float64() * z.sum[len(z.sum)-1]
+	return uint64(sort.SearchFloat64s(z.sum, x))
+}
+
+// Count is how many arrivals there are.
+func Count(all [][]Arrival) int {
+	n := 0
+	for _, a := range all {
+		n += len(a)
+	}
+	return n
+}
+
+// Last is the latest arrival.
+func Last(all [][]Arrival) time.Duration {
+	var last time.Duration
+	for _, a := range all {
+		if len(a) > 0 {
+			last = max(last, slices.MaxFunc(a, func(x, y Arrival) int { return int(x.At - y.At) }).At)
+		}
+	}
+	return last
+}
