Show that the checker sees each rule broken; add the lab's experiments and tests

A checker that no test makes fail proves nothing, and a silent listener that lets a connection through makes every cut a guess.

Ten test agents, real processes, each break one rule on purpose (lost, silent, forged, duplicate, refuse, again, drain, cold, stranger, crash); an honest one breaks none.

Found by them and mended: a listener told to fall silent could take one more connection out of a queue that had just been full; an idle connection on which no request had come was kept for ever; a cut that overlapped a time without discovery counted twice.

--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -80,13 +80,12 @@
 // told more, or from running.
 type view struct {
 	sync.Mutex
-	start   time.Duration // of its process
-	startUp time.Duration // the same by discovery's time of service
-	cut     time.Duration // cut off from discovery by the lab, until cutAt
+	startUp time.Duration // when its process began, by discovery's time of service
+	cut     time.Duration // of discovery's time of service, cut off by the lab, until cutAt
 	cutAt   time.Duration
+	isCut   bool
 	about   []told // by server
 	excused []span
-	gone    time.Duration // since when the lab has it killed; 0: it is not
 }
 
 type told struct {
@@ -261,8 +260,8 @@
 	}
 	up := c.facts.up(now)
 	cut := v.cut
-	if v.cutAt > 0 {
-		cut += now - v.cutAt
+	if v.isCut {
+		cut += up - v.cutAt
 	}
 	return f, true, up - max(f.since, v.startUp) - cut
 }
@@ -300,17 +299,25 @@
 
 // Cut is told when the lab cuts an agent off from discovery, and when it ends that.
 func (c *Checker) Cut(agent int, off bool) {
-	v, now := &c.views[agent], c.clock()
+	v := &c.views[agent]
 	v.Lock()
 	defer v.Unlock()
-	switch {
-	case off && v.cutAt == 0:
-		v.cutAt = now
-	case !off && v.cutAt > 0:
-		v.cut, v.cutAt = v.cut+now-v.cutAt, 0
+	up := c.service()
+	if v.isCut && !off {
+		v.cut += up - v.cutAt
+	}
+	if v.isCut != off {
+		v.isCut, v.cutAt = off, up
 	}
 }
 
+// service is discovery's time of service until now.
+func (c *Checker) service() time.Duration {
+	c.facts.Lock()
+	defer c.facts.Unlock()
+	return c.facts.up(c.clock())
+}
+
 // Told is told what discovery has written to an agent.
 func (c *Checker) Told(agent, server int, health string, bornMs int64) {
 	now := c.clock()
@@ -329,17 +336,11 @@
 
 // Started is told of a new process of an agent: what the one before knew is gone.
 func (c *Checker) Started(agent int) {
-	now := c.clock()
-	c.facts.Lock()
-	up := c.facts.up(now)
-	c.facts.Unlock()
 	v := &c.views[agent]
 	v.Lock()
 	defer v.Unlock()
-	v.start, v.startUp, v.gone, v.cut = now, up, 0, 0
-	if v.cutAt > 0 {
-		v.cutAt = now
-	}
+	v.startUp, v.cut = c.service(), 0
+	v.cutAt = v.startUp
 	clear(v.about)
 }
 
@@ -349,7 +350,6 @@
 	v := &c.views[agent]
 	v.Lock()
 	defer v.Unlock()
-	v.gone = max(now, 1)
 	v.excuse(span{now, now + slack})
 }
 
--- /dev/null
+++ b/internal/lab/check/check_test.go
@@ -0,0 +1,290 @@
+package check
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"molepaddle/policy"
+)
+
+const ms = time.Millisecond
+
+// world is a checker with a clock that a test sets.
+type world struct {
+	*Checker
+	now time.Duration
+	set policy.Settings
+	n   int
+}
+
+func newWorld() *world {
+	w := &world{now: time.Second}
+	w.set = policy.Settings{
+		Classes: []policy.Class{{Name: "look", Effect: policy.Free, Group: policy.GroupAll},
+			{Name: "send", Effect: policy.Guarded, Group: policy.GroupZone, KeyTTLMs: 3000},
+			{Name: "vote", Effect: policy.Guarded, Group: policy.GroupAll, KeyTTLMs: 3000},
+			{Name: "order", Effect: policy.SingleShot}, {Name: "cell", Effect: policy.Guarded, Group: policy.GroupCell, KeyTTLMs: 3000}},
+		Contract: policy.Contract{AnswerSlackMs: 20, DrainGraceMs: 500, TipAfterMs: 1000},
+		Limits:   policy.Limits{MaxAttempts: 3, ParallelTries: true},
+	}
+	w.Checker = New(func() time.Duration { return w.now }, &w.set, []string{"n0", "n1"},
+		[]Server{{"s0", 0, 0}, {"s1", 1, 1}, {"s2", 0, 2}})
+	return w
+}
+
+const look, send, vote, order, cell = 0, 1, 2, 3, 4
+
+func (w *world) ask(class int) *Request {
+	w.n++
+	r := &Request{ID: strings.Repeat("x", w.n), Class: class, Planned: w.now, Expires: w.now + 5*time.Second}
+	w.Add(r)
+	return r
+}
+
+func (w *world) at(d time.Duration) *world { w.now = time.Second + d; return w }
+
+// arrive is a whole request at a server now.
+func (w *world) arrive(r *Request, server int) *Attempt {
+	return w.Arrived(r, server, w.now, w.now, true)
+}
+
+// answer is a final answer now.
+func (w *world) answer(r *Request, kind Kind, body string) Kind {
+	return w.Answered(r, Answer{Kind: kind, At: w.now, Body: body, Taken: true})
+}
+
+func TestRules(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rule string // "" is none
+		play func(w *world)
+	}{
+		{"served by a server", "", func(w *world) {
+			r := w.ask(look)
+			a := w.arrive(r, 0)
+			a.Ended()
+			w.at(time.Second).answer(r, Served, a.Body("s0"))
+		}},
+		{"served by nobody", RuleLost, func(w *world) { w.answer(w.ask(look), Served, "all is well") }},
+		{"served with another request's answer", RuleLost, func(w *world) {
+			r, other := w.ask(look), w.ask(look)
+			w.arrive(r, 0)
+			a := w.arrive(other, 0)
+			w.answer(r, Served, a.Body("s0"))
+		}},
+		{"within the slack", "", func(w *world) { r := w.ask(look); w.at(5070*ms).answer(r, Failed, "") }},
+		{"beyond the slack", RuleLost, func(w *world) { r := w.ask(look); w.at(5071*ms).answer(r, Failed, "") }},
+		{"beyond it while the lab had it stopped", "", func(w *world) {
+			r := w.ask(look)
+			w.Stopped(0, w.now+time.Second, w.now+5*time.Second)
+			w.at(6*time.Second).answer(r, Failed, "")
+		}},
+		{"never", RuleLost, func(w *world) { r := w.ask(look); w.at(5080*ms).answer(r, Unanswered, "") }},
+		{"never, its agent killed by the lab", "", func(w *world) {
+			r := w.ask(look)
+			w.at(time.Second).Killed(0)
+			w.answer(r, Unanswered, "")
+		}},
+		{"closed on it", RuleLost, func(w *world) {
+			r := w.ask(look)
+			w.Answered(r, Answer{Kind: Unanswered, At: w.now, Taken: true, Closed: true})
+		}},
+		{"a new connection closed, nothing sent on", "", func(w *world) {
+			r := w.ask(look)
+			w.Answered(r, Answer{Kind: Unanswered, At: w.now, Taken: true, Closed: true, Fresh: true})
+		}},
+		{"a new connection closed, sent on", RuleLost, func(w *world) {
+			r := w.ask(look)
+			w.arrive(r, 0)
+			w.Answered(r, Answer{Kind: Unanswered, At: w.now, Taken: true, Closed: true, Fresh: true})
+		}},
+		{"broken off half way", "", func(w *world) {
+			r := w.ask(look)
+			w.arrive(r, 0)
+			w.Answered(r, Answer{Kind: Unanswered, At: w.now, Taken: true, Closed: true, Partly: true})
+		}},
+		{"left by its client", "", func(w *world) { w.answer(w.ask(look), Left, "") }},
+
+		{"a free one again and again", "", func(w *world) { r := w.ask(look); w.arrive(r, 0); w.arrive(r, 1); w.arrive(r, 2) }},
+		{"more than the limit", RuleDuplicate, func(w *world) {
+			r := w.ask(look)
+			for range 4 {
+				w.arrive(r, 0)
+			}
+		}},
+		{"two copies where one is allowed", RuleDuplicate, func(w *world) {
+			w.set.Limits.ParallelTries = false
+			r := w.ask(look)
+			w.arrive(r, 0)
+			w.arrive(r, 1)
+		}},
+		{"one copy after the other", "", func(w *world) {
+			w.set.Limits.ParallelTries = false
+			r := w.ask(look)
+			w.arrive(r, 0).Ended()
+			w.arrive(r, 1)
+		}},
+		{"single shot again after it was turned away", "", func(w *world) { r := w.ask(order); w.arrive(r, 0).TurnedAway(); w.arrive(r, 1) }},
+		{"single shot again after it may have run", RuleDuplicate, func(w *world) { r := w.ask(order); w.arrive(r, 0).Ended(); w.arrive(r, 1) }},
+		{"single shot refused after it may have run", RuleDuplicate, func(w *world) {
+			r := w.ask(order)
+			w.arrive(r, 0).Ended()
+			w.answer(r, Refused, "")
+		}},
+		{"single shot refused unseen", "", func(w *world) { r := w.ask(order); w.arrive(r, 0).TurnedAway(); w.answer(r, Refused, "") }},
+		{"keyed within its zone and time", "", func(w *world) { r := w.ask(send); w.arrive(r, 0); w.at(3050*ms).arrive(r, 2) }},
+		{"keyed after its time", RuleDuplicate, func(w *world) { r := w.ask(send); w.arrive(r, 0); w.at(3051*ms).arrive(r, 2) }},
+		{"keyed in another zone", RuleDuplicate, func(w *world) { r := w.ask(send); w.arrive(r, 0); w.arrive(r, 1) }},
+		{"keyed in another cell", RuleDuplicate, func(w *world) { r := w.ask(cell); w.arrive(r, 0); w.arrive(r, 2) }},
+		{"keyed for all, anywhere", "", func(w *world) { r := w.ask(vote); w.arrive(r, 0); w.arrive(r, 1); w.answer(r, Refused, "") }},
+		{"keyed for a zone, refused", RuleDuplicate, func(w *world) { r := w.ask(send); w.arrive(r, 0); w.answer(r, Refused, "") }},
+		{"sent after its final answer", RuleDuplicate, func(w *world) {
+			r := w.ask(look)
+			a := w.arrive(r, 0)
+			w.answer(r, Served, a.Body("s0"))
+			w.at(60*ms).arrive(r, 1)
+		}},
+		{"sent as its final answer went out", "", func(w *world) {
+			r := w.ask(look)
+			a := w.arrive(r, 0)
+			w.answer(r, Served, a.Body("s0"))
+			w.at(50*ms).arrive(r, 1)
+		}},
+
+		{"to a draining server within the grace", "", func(w *world) {
+			w.Told(0, 0, "draining", 0)
+			w.at(550*ms).arrive(w.ask(look), 0)
+		}},
+		{"to a draining server after it", RuleDrain, func(w *world) {
+			w.Told(0, 0, "draining", 0)
+			w.at(551*ms).arrive(w.ask(look), 0)
+		}},
+		{"to a server that is ready again", "", func(w *world) {
+			w.Told(0, 0, "gone", 0)
+			w.Told(0, 0, "ready", 7)
+			w.at(time.Second).arrive(w.ask(look), 0)
+		}},
+		{"the other agent was told", "", func(w *world) {
+			w.Told(1, 0, "draining", 0)
+			w.at(time.Second).arrive(w.ask(look), 0)
+		}},
+		{"told by another process of this name", "", func(w *world) {
+			w.Told(0, 0, "draining", 0)
+			w.Started(0)
+			w.at(time.Second).arrive(w.ask(look), 0)
+		}},
+		{"a drain that counts as told", RuleDrain, func(w *world) {
+			w.Known(0, "draining", 0)
+			w.at(6551*ms).arrive(w.ask(look), 0)
+		}},
+		{"a drain that does not yet", "", func(w *world) {
+			w.Known(0, "draining", 0)
+			w.at(6550*ms).arrive(w.ask(look), 0)
+		}},
+		{"a drain while discovery is down", "", func(w *world) {
+			w.Known(0, "draining", 0)
+			w.at(time.Second).Discovery(false)
+			w.at(20*time.Second).arrive(w.ask(look), 0)
+		}},
+		{"a drain after discovery was down", RuleDrain, func(w *world) {
+			w.Known(0, "draining", 0)
+			w.at(time.Second).Discovery(false)
+			w.at(20 * time.Second).Discovery(true)
+			w.at(25551*ms).arrive(w.ask(look), 0)
+		}},
+		{"a drain while the lab has the agent cut off", "", func(w *world) {
+			w.Known(0, "draining", 0)
+			w.Cut(0, true)
+			w.at(20*time.Second).arrive(w.ask(look), 0)
+		}},
+		{"a drain after that", RuleDrain, func(w *world) {
+			w.Known(0, "draining", 0)
+			w.Cut(0, true)
+			w.at(20*time.Second).Cut(0, false)
+			w.at(26551*ms).arrive(w.ask(look), 0)
+		}},
+		{"a send that a link may have held", "", func(w *world) {
+			w.Told(0, 0, "draining", 0)
+			w.at(time.Second)
+			w.Arrived(w.ask(look), 0, w.now, w.now, false)
+		}},
+
+		{"pushed over by those who knew", RuleCold, func(w *world) { w.Fell(0, 0.67, 900, 500) }},
+		{"pushed over by those who could not know", "", func(w *world) { w.Fell(0, 0.66, 900, 500) }},
+		{"an id that no client sent", RuleUnknown, func(w *world) { w.Stranger(w.Lookup("nobody"), "nobody", 0, "it came") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld()
+			c.play(w)
+			breaches, count := w.Breaches()
+			switch {
+			case c.rule == "" && len(breaches) > 0:
+				t.Errorf("nothing is broken, yet: %v", breaches)
+			case c.rule != "" && (count[c.rule] != 1 || len(count) != 1):
+				t.Errorf("want one breach of %q: %v", c.rule, breaches)
+			}
+		})
+	}
+}
+
+// An agent counts as told of a start once it was written to it, or six seconds of
+// service after discovery knew; a start before that one is another.
+func TestStartTold(t *testing.T) {
+	w := newWorld()
+	w.Known(0, "ready", 100)
+	if w.StartTold(0, 0, 100) {
+		t.Error("told at once")
+	}
+	w.Told(1, 0, "ready", 100)
+	if !w.StartTold(1, 0, 100) || w.StartTold(1, 0, 200) {
+		t.Error("what was written does not count, or counts for a later start")
+	}
+	if w.at(5999*ms).StartTold(0, 0, 100) || !w.at(6000*ms).StartTold(0, 0, 100) {
+		t.Error("it does not count as told after six seconds, or does before")
+	}
+}
+
+// What has long ended is forgotten, and what is under way never.
+func TestForgets(t *testing.T) {
+	w := newWorld()
+	done, open := w.ask(look), w.ask(look)
+	w.answer(done, Failed, "")
+	w.at(30 * time.Second).Sweep()
+	if w.Lookup(done.ID) == nil {
+		t.Error("forgotten too soon")
+	}
+	w.at(31 * time.Second).Sweep()
+	if w.Lookup(done.ID) != nil || w.Lookup(open.ID) == nil || w.Held() != 1 {
+		t.Errorf("holds %d", w.Held())
+	}
+}
+
+// However discovery and the lab's cuts come and go, a drain counts as told after six
+// seconds in which it could have been, and not before.
+func TestToldByTimeOfService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		w.Known(0, "draining", 0)
+		up, cut, service := true, false, time.Duration(0)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			d := time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * ms
+			w.now += d
+			if up && !cut {
+				service += d
+			}
+			if rapid.Bool().Draw(t, "which") {
+				up = !up
+				w.Discovery(up)
+			} else {
+				cut = !cut
+				w.Cut(0, cut)
+			}
+			if _, told := w.drainTold(0, 0, w.now); told != (service >= toldAfter) {
+				t.Fatalf("after %v of service: told %v", service, told)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/lab/client/client_test.go
@@ -0,0 +1,279 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"reflect"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/lab/check"
+	"molepaddle/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func load() *Load {
+	return &Load{Rate: 2000, Keys: 1000, Zipf: 1, TryShare: []float64{0.5, 1}, Honour: 0.5, Impatient: 0.1, AgentCV: 0.5,
+		Class: []Class{{Name: "a", Share: 3, Work: 10, Dist: "exp", GiveUp: time.Second, Effect: "free"},
+			{Name: "b", Share: 1, Work: 20, Dist: "lognormal", CV: 1, GiveUp: time.Second, Effect: "guarded", Group: "all"}}}
+}
+
+// The seed alone decides what is asked, and adding a change of the load leaves what is
+// outside of it in its law.
+func TestDraw(t *testing.T) {
+	l := load()
+	const end = 60 * time.Second
+	first := Draw(l, 7, end, nil, 5)
+	if !reflect.DeepEqual(first, Draw(l, 7, end, nil, 5)) {
+		t.Error("one seed, two draws")
+	}
+	if reflect.DeepEqual(first, Draw(l, 7, end, nil, 6)) {
+		t.Error("two seeds, one draw")
+	}
+	near := func(what string, got, want, part float64) {
+		t.Helper()
+		if math.Abs(got-want) > part*want {
+			t.Errorf("%s: %.4g, want %.4g", what, got, want)
+		}
+	}
+	all := slices.Concat(first...)
+	near("arrivals", float64(len(all)), 120_000, 0.02)
+	var work [2]float64
+	var n [2]float64
+	top := 0.0
+	for i := range all {
+		a := &all[i]
+		work[a.Class] += a.Work
+		n[a.Class]++
+		if a.Key == 1 {
+			top++
+		}
+		if a.Try < 500*time.Millisecond || a.Try > time.Second || a.Leave > a.Try || a.At < 0 || a.At >= end {
+			t.Fatalf("%+v", a)
+		}
+	}
+	near("share of a class", n[0]/n[1], 3, 0.05)
+	near("mean work, exponential", work[0]/n[0], 10, 0.03)
+	near("mean work, lognormal", work[1]/n[1], 20, 0.05)
+	harmonic := 0.0
+	for i := 1; i <= 1000; i++ {
+		harmonic += 1 / float64(i)
+	}
+	near("the most popular key", top/float64(len(all)), 1/harmonic, 0.05)
+	if least, most := len(slices.MinFunc(first, byLen)), len(slices.MaxFunc(first, byLen)); most < least*3/2 {
+		t.Errorf("uneven agents ask %d to %d", least, most)
+	}
+	for i := range first {
+		if !slices.IsSortedFunc(first[i], func(x, y Arrival) int { return int(x.At - y.At) }) {
+			t.Error("arrivals out of order")
+		}
+	}
+	burst := slices.Concat(Draw(l, 7, end, []Change{{From: 20 * time.Second, To: 40 * time.Second, Factor: 2},
+		{From: 20 * time.Second, To: 40 * time.Second, Class: "a", Heavy: 0.1, Times: 50}}, 5)...)
+	in, heavy := 0.0, 0.0
+	for _, a := range burst {
+		if a.At >= 20*time.Second && a.At < 40*time.Second {
+			in++
+			if a.Class == 0 && a.Work > 150 { // e^-15 of the usual ones
+				heavy++
+			}
+		}
+	}
+	near("arrivals in a burst", in, 80_000, 0.03)
+	near("arrivals outside of it", float64(len(burst))-in, 80_000, 0.03)
+	near("heavy ones", heavy, 80_000*0.75*0.1*math.Exp(-150.0/500), 0.1)
+}
+
+func byLen(a, b []Arrival) int { return len(a) - len(b) }
+
+// The weights of the agents add up to all of the traffic, whatever their number.
+func TestWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &Load{AgentCV: rapid.Float64Range(0, 3).Draw(t, "cv")}
+		sum := 0.0
+		for _, w := range Weights(l, rapid.IntRange(1, 300).Draw(t, "agents"), rapid.Uint64().Draw(t, "seed")) {
+			if w <= 0 {
+				t.Fatal("an agent without traffic")
+			}
+			sum += w
+		}
+		if math.Abs(sum-1) > 1e-9 {
+			t.Fatalf("weights add up to %v", sum)
+		}
+	})
+}
+
+// scripted answers each try as told.
+type scripted struct {
+	mu      sync.Mutex
+	clock   check.Clock
+	replies []reply
+	sent    []*check.Request
+	heads   []http.Header
+	hold    time.Duration
+}
+
+func (s *scripted) send(r *check.Request, head http.Header, _ time.Time) reply {
+	time.Sleep(s.hold)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent, s.heads = append(s.sent, r), append(s.heads, head)
+	rep := reply{Answer: check.Answer{Kind: check.Failed}}
+	if n := len(s.sent); n <= len(s.replies) {
+		rep = s.replies[n-1]
+	}
+	rep.At = s.clock()
+	return rep
+}
+
+func (s *scripted) Opened() int64 { return 0 }
+func (s *scripted) Reset()        {}
+
+func answered(k check.Kind) reply { return reply{Answer: check.Answer{Kind: k, Taken: true}} }
+
+// play sends arrivals through a client and returns how they ended.
+func play(t *testing.T, l *Load, s *scripted, arrivals []Arrival) []Result {
+	t.Helper()
+	epoch := time.Now()
+	clock := func() time.Duration { return time.Since(epoch) }
+	s.clock = clock
+	set := &policy.Settings{Classes: []policy.Class{{Name: "a", Effect: policy.Free}, {Name: "b", Effect: policy.Guarded, Group: policy.GroupAll}}}
+	var mu sync.Mutex
+	var results []Result
+	c := New(&Env{Clock: clock, Epoch: epoch, Load: l, Lane: "t", Checker: check.New(clock, set, []string{"n0"}, nil),
+		Ended: func(r Result) { mu.Lock(); defer mu.Unlock(); results = append(results, r) }}, 0, s)
+	c.Up()
+	c.Run(context.Background(), arrivals)
+	return results
+}
+
+// Clients try again as the protocol lets them, each time under a new id, marked, and
+// within the time that the class has for all tries.
+func TestRetries(t *testing.T) {
+	later := answered(check.Refused)
+	later.retryAfter = 40 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		class   Class
+		heed    bool
+		replies []reply
+		tries   int
+		kind    check.Kind
+	}{
+		{"served at once", Class{Effect: "free"}, false, []reply{answered(check.Served)}, 1, check.Served},
+		{"failed, then served", Class{Effect: "free"}, false, []reply{answered(check.Failed), answered(check.Served)}, 2, check.Served},
+		{"never", Class{Effect: "guarded", Group: "all"}, false, nil, 3, check.Failed},
+		{"single shot failed", Class{Effect: "single_shot"}, false, nil, 1, check.Failed},
+		{"single shot refused", Class{Effect: "single_shot"}, false, []reply{answered(check.Refused), answered(check.Served)}, 2, check.Served},
+		{"keyed for a zone, failed", Class{Effect: "guarded", Group: "zone"}, false, nil, 1, check.Failed},
+		{"left early", Class{Effect: "free"}, false, []reply{answered(check.Left)}, 1, check.Left},
+		{"told when to come back", Class{Effect: "free"}, true, []reply{later, answered(check.Served)}, 2, check.Served},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := load()
+			l.Retries = 2
+			c.class.Name, c.class.GiveUp, c.class.Aim = "a", 10*time.Second, 10*time.Second
+			l.Class = []Class{c.class}
+			for i := range c.replies { // bodies are judged by the checker's own tests
+				if c.replies[i].Kind == check.Served {
+					c.replies[i].Body = "x"
+				}
+			}
+			s := &scripted{replies: c.replies}
+			res := play(t, l, s, []Arrival{{Class: 0, Key: 1, Try: 5 * time.Second, Heed: c.heed}})
+			if len(res) != 1 || int(res[0].Tries) != c.tries || res[0].Kind != c.kind {
+				t.Fatalf("%+v, want %d tries and %v", res, c.tries, c.kind)
+			}
+			ids := map[string]bool{}
+			for i, r := range s.sent {
+				ids[r.ID] = true
+				if marked := s.heads[i].Get("Client-Retry") == "1"; marked != (i > 0) {
+					t.Errorf("try %d marked %v", i, marked)
+				}
+				if i > 0 && r.Idem != s.sent[0].Idem {
+					t.Error("a retry has another key")
+				}
+			}
+			if len(ids) != c.tries {
+				t.Errorf("%d ids for %d tries", len(ids), c.tries)
+			}
+			if c.heed && res[0].Latency < 40*time.Millisecond {
+				t.Errorf("came back after %v, told 40 ms", res[0].Latency)
+			}
+		})
+	}
+	l := load()
+	l.Retries, l.Class[0].GiveUp = 1000, 150*time.Millisecond
+	l.Backoff, l.BackoffBy = "fixed", 30*time.Millisecond
+	res := play(t, l, &scripted{}, []Arrival{{Class: 0, Try: time.Second}})
+	if res[0].Tries > 6 || res[0].Tries < 2 {
+		t.Errorf("%d tries 30 ms apart within 150 ms", res[0].Tries)
+	}
+}
+
+// The loop is open: answers that never come hold up no later request, and latency counts
+// from the planned time.
+func TestOpenLoop(t *testing.T) {
+	l := load()
+	l.Class[0].GiveUp = 10 * time.Second
+	var arrivals []Arrival
+	for i := range 50 {
+		arrivals = append(arrivals, Arrival{At: time.Duration(i) * 2 * time.Millisecond, Try: time.Second})
+	}
+	began := time.Now()
+	s := &scripted{hold: 300 * time.Millisecond}
+	res := play(t, l, s, arrivals)
+	if took := time.Since(began); len(res) != 50 || took > 5*time.Second {
+		t.Errorf("%d requests of 300 ms each took %v: they waited for each other", len(res), took)
+	}
+	for _, r := range res {
+		if r.Latency < 300*time.Millisecond {
+			t.Errorf("latency %v of an answer that took 300 ms", r.Latency)
+		}
+	}
+}
+
+// A baseline asks another server where the first never ran it, spreads what it sends,
+// and leaves alone what isn't ready.
+func TestBaselines(t *testing.T) {
+	for _, name := range Policies {
+		var hosts []agent.Host
+		count := map[string]int{}
+		for i := range 4 {
+			health := "ready"
+			if i == 3 {
+				health = "draining"
+			}
+			hosts = append(hosts, agent.Host{Host: fmt.Sprint(i), Dial: fmt.Sprint(i), Health: health})
+		}
+		b, err := NewBaseline(&Baseline{Policy: name, Load: load(), List: func() agent.List { return agent.List{Hosts: hosts} }}, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 600 {
+			addr, _ := b.choose(nil)
+			count[addr]++
+		}
+		for _, addr := range []string{"0", "1", "2"} {
+			if count[addr] < 140 || count[addr] > 260 || count["3"] > 0 {
+				t.Errorf("%s: spread %v", name, count)
+				break
+			}
+		}
+		if addr, _ := b.choose(map[string]bool{"0": true, "1": true}); addr != "2" {
+			t.Errorf("%s: chose %q of the one that is left", name, addr)
+		}
+	}
+	if _, err := NewBaseline(&Baseline{Policy: "best"}, 1); err == nil {
+		t.Error("an unknown policy is no error")
+	}
+}
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -154,8 +154,8 @@
 func defaultSpec(speed float64) server.Spec {
 	return server.Spec{Cores: 1, Speed: speed, Slots: 4, Queue: 24, Thrash: 0.2, ThrashAt: 10,
 		ColdFrom: 0.2, ColdFor: 18 * time.Second, AffinityGain: 0.6, AffinityFor: 20 * time.Second, AffinityKeys: 12,
-		Choke:        server.Choke{At: 6, Over: 2 * time.Second, Slower: 2.5, Below: 0.3, Rest: 3 * time.Second, AtMost: 25 * time.Second},
-		FallMultiple: 4, FallWindow: time.Second, FallSlack: 300}
+		Choke:     server.Choke{At: 6, Over: 2 * time.Second, Slower: 2.5, Below: 0.3, Rest: 3 * time.Second, AtMost: 25 * time.Second},
+		FallSlack: 300}
 }
 
 func defaultConns() server.Connections {
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,211 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/internal/lab/check"
+)
+
+// small is an experiment in which a server drains and comes back cold, short enough for
+// a test, with room for a slow machine.
+const small = `
+name = "small"
+seed = 5
+duration = "7s"
+warmup = "500ms"
+lateness = "1s"
+[agents]
+count = 2
+command = %q
+args = ["agent", %q]
+[servers]
+count = 4
+[[servers.kind]]
+name = "plain"
+share = 1.0
+[servers.kind.spec]
+speed = 3.0
+queue = 200
+[rules]
+fall_multiple = 2.0
+[discovery]
+notice = ["50ms", "100ms"]
+add = ["50ms", "100ms"]
+period = "20ms"
+[load]
+rate = 150
+retries = 0
+[[load.class]]
+name = "look"
+share = 0.6
+work = 20
+aim = "3s"
+give_up = "5s"
+[[load.class]]
+name = "order"
+share = 0.4
+work = 20
+aim = "3s"
+give_up = "5s"
+effect = "single_shot"
+[[fault]]
+name = "drained"
+kind = "drain"
+target = "s-01"
+at = "1500ms"
+for = "1500ms"
+`
+
+func play(t *testing.T, text string) *Summary {
+	t.Helper()
+	c, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	s, err := Run(ctx, c, Options{Out: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The checker sees each rule that an agent breaks, and none in one that keeps them.
+func TestCheckerSeesEachRuleBroken(t *testing.T) {
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for breaks, rule := range map[string]string{
+		"honest": "", "lost": check.RuleLost, "silent": check.RuleLost, "forged": check.RuleLost,
+		"duplicate": check.RuleDuplicate, "refuse": check.RuleDuplicate, "again": check.RuleDuplicate,
+		"drain": check.RuleDrain, "cold": check.RuleCold, "stranger": check.RuleUnknown, "crash": check.RuleCrash,
+	} {
+		t.Run(breaks, func(t *testing.T) {
+			t.Parallel()
+			s := play(t, fmt.Sprintf(small, exe, breaks))
+			l := &s.Lanes[0]
+			if all := l.row("all", "all"); all.Asked < 200 && breaks != "crash" {
+				t.Fatalf("only %d requests asked", all.Asked)
+			}
+			if rule == "" {
+				if len(l.Breaches) > 0 || !s.Held {
+					t.Fatalf("seed %d: an agent that keeps the rules: %v %v\n%v", s.Seed, l.Breaches, s.Broke, l.Examples)
+				}
+				return
+			}
+			if l.Breaches[rule] == 0 || s.Held {
+				t.Fatalf("seed %d: breaches %v, held %v; want some of %q", s.Seed, l.Breaches, s.Held, rule)
+			}
+			for other := range l.Breaches {
+				// What a process held when it crashed is lost as well.
+				if other != rule && !(rule == check.RuleCrash && other == check.RuleLost) {
+					t.Errorf("seed %d: also %q, of which this agent is innocent: %v", s.Seed, other, l.Examples[:min(5, len(l.Examples))])
+				}
+			}
+			for _, x := range l.Examples {
+				if x.Rule == rule && (x.Text == "" || x.Agent == "" && x.Server == "" || x.AtS < 0) {
+					t.Errorf("a breach without its particulars: %+v", x)
+				}
+			}
+		})
+	}
+}
+
+// Two plays with one seed inject the same faults at the same times to the same targets,
+// and ask the same requests; another seed does not.
+func TestSeedDecides(t *testing.T) {
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(fmt.Sprintf(small, exe, "honest"), `target = "s-01"`, `target = "servers#1"`, 1)
+	text = strings.Replace(text, `duration = "7s"`, `duration = "4s"`, 1)
+	story := func(seed int) string {
+		s := play(t, strings.Replace(text, "seed = 5", fmt.Sprintf("seed = %d", seed), 1))
+		out := fmt.Sprint(s.Lanes[0].row("all", "look").Asked, s.Lanes[0].row("all", "order").Asked, " ")
+		for _, f := range s.Faults {
+			// Planned to the nanosecond, injected within what a timer takes.
+			out += fmt.Sprintf("%s@%.1f ", f.Name, f.PlanS)
+			if f.FromS < f.PlanS || f.FromS > f.PlanS+1 {
+				t.Errorf("fault %s planned at %v, injected at %v", f.Name, f.PlanS, f.FromS)
+			}
+		}
+		for _, e := range s.Lanes[0].Events {
+			if strings.HasSuffix(e.Name, " draining") && strings.HasPrefix(e.Name, "server ") {
+				out += e.Name
+			}
+		}
+		return out
+	}
+	first, again, other := story(5), story(5), story(6)
+	if first != again {
+		t.Errorf("one seed, two stories:\n%s\n%s", first, again)
+	}
+	if first == other {
+		t.Errorf("two seeds, one story: %s", first)
+	}
+}
+
+// Every key that makes no sense is named, in one line.
+func TestBadFiles(t *testing.T) {
+	good := fmt.Sprintf(small, "bin/agent", "honest")
+	for _, c := range []struct{ from, to, names string }{
+		{"rate = 150", "rate = -1", "load.rate: must be 0 or above"},
+		{"rate = 150", "rat = 150", "load.rat: unknown key"},
+		{"rate = 150", "rate = \"many\"", "load.rate"},
+		{"count = 4", "count = 4\ncolour = \"red\"", "servers.colour: unknown key"},
+		{"speed = 3.0", "sped = 3.0", "servers.kind[0].spec.sped: unknown key"},
+		{`target = "s-01"`, `target = "s-77"`, `fault[0].target: unknown process "s-77"`},
+		{`target = "s-01"`, `target = "servers@nowhere"`, "no zone"},
+		{`target = "s-01"`, `target = "agents"`, "fault[0].kind"},
+		{`at = "1500ms"`, `at = "8s"`, "fault[0].at: 8s is after the end of the run at 7s"},
+		{`for = "1500ms"`, `for = "6s"`, "fault[0].for"},
+		{`at = "1500ms"`, `at = "soon"`, "fault[0].at"},
+		{`effect = "single_shot"`, `effect = "maybe"`, "load.class[1].effect"},
+		{`duration = "7s"`, `duration = "0s"`, "duration: must be 1s to 1h"},
+		{`name = "small"`, `name = "two words"`, "name: must be one word"},
+		{`seed = 5`, "seed = ", "no TOML"},
+		{`seed = 5`, `baselines = ["best"]`, "baselines[0]: unknown policy"},
+		{"[[fault]]", "[[expect]]\nwhat = \"luck\"\nat_least = 1\n[[fault]]", "expect[0].what"},
+		{"[[fault]]", "[[expect]]\nwhat = \"served\"\n[[fault]]", "expect[0].at_least"},
+		{"[[fault]]", "[[expect]]\nwhat = \"served\"\nwindow = \"moon\"\nat_least = 1\n[[fault]]", "expect[0].window"},
+		{`kind = "drain"`, `kind = "slow"`, "fault[0].size: missing"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if text == good {
+			t.Fatalf("%q does not stand in the file", c.from)
+		}
+		_, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: said %v, want one line with %q", c.to, err, c.names)
+		}
+	}
+	if _, err := Parse([]byte(good)); err != nil {
+		t.Errorf("a good file: %v", err)
+	}
+}
+
+// A list in the file replaces the default's, and what an entry leaves out is the default's.
+func TestDefaults(t *testing.T) {
+	c, err := Parse([]byte(fmt.Sprintf(small, "bin/agent", "honest") + "\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(c.Servers.Kind) != 1 || c.Servers.Kind[0].Spec.Slots != 4 || c.Servers.Kind[0].Spec.Speed != 3 {
+		t.Errorf("kinds %+v", c.Servers.Kind)
+	}
+	if len(c.Load.Class) != 2 || c.Load.Class[1].Effect != "single_shot" || c.Load.Class[0].Effect != "free" {
+		t.Errorf("classes %+v", c.Load.Class)
+	}
+	one, err := Parse([]byte("name = \"x\"\nduration = \"5s\"\nzones = [\"a\"]\n"))
+	if err != nil || len(one.Zones) != 1 {
+		t.Errorf("zones %v, error %v", one, err)
+	}
+}
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -227,6 +227,7 @@
 	for i := range out {
 		k := c.Servers.Kind[kinds[i]]
 		spec := k.Spec
+		spec.FallMultiple, spec.FallWindow = c.Rules.FallMultiple, c.Rules.FallWindow
 		weight := k.Weight
 		if weight <= 0 {
 			weight = float64(spec.Cores) * spec.Speed
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -67,6 +67,7 @@
 	ln      *net.TCPListener
 	opened  *sync.Cond
 	held    []net.Conn // accepted while silent, or dialled to fill the queue
+	parked  bool       // the accepting goroutine waits for the end of the silence
 	closing bool
 }
 
@@ -155,8 +156,15 @@
 	if err != nil {
 		return err
 	}
+	// Until the accepting goroutine has taken one more and stands still, it could take the
+	// next out of a queue that has just been full.
+	parked := false
 	for range fillers {
-		c, err := net.DialTimeout("tcp", addr, fillWait)
+		wait := fillWait
+		if !parked {
+			wait = time.Second
+		}
+		c, err := net.DialTimeout("tcp", addr, wait)
 		if err != nil {
 			var timeout net.Error
 			if errors.As(err, &timeout) && timeout.Timeout() {
@@ -165,10 +173,15 @@
 			return fmt.Errorf("fill the queue of %s: %w", addr, err)
 		}
 		l.mu.Lock()
-		if l.state == silent {
-			l.held = append(l.held, c)
-		} else {
-			Reset(c)
+		l.held = append(l.held, c)
+		for l.state == silent && !l.parked {
+			l.opened.Wait()
+		}
+		parked = true
+		if l.state != silent {
+			l.release()
+			l.mu.Unlock()
+			return nil
 		}
 		l.mu.Unlock()
 	}
@@ -197,10 +210,12 @@
 		}
 		l.mu.Lock()
 		if l.state == silent && l.ln == ln {
-			l.held = append(l.held, c)
+			l.held, l.parked = append(l.held, c), true
+			l.opened.Broadcast()
 			for l.state == silent {
 				l.opened.Wait()
 			}
+			l.parked = false
 			l.mu.Unlock()
 			continue
 		}
--- a/internal/lab/server/model.go
+++ b/internal/lab/server/model.go
@@ -34,8 +34,8 @@
 	AffinityKeys int           `koanf:"affinity_keys"`
 	PauseEvery   time.Duration `koanf:"pause_every"`
 	PauseFor     time.Duration `koanf:"pause_for"`
-	FallMultiple float64       `koanf:"fall_multiple"` // 0: it never falls over
-	FallWindow   time.Duration `koanf:"fall_window"`
+	FallMultiple float64       `koanf:"-"` // of the fourth rule; 0: it never falls over
+	FallWindow   time.Duration `koanf:"-"`
 	FallSlack    float64       `koanf:"fall_slack"` // standard-core ms on top, for chance
 }
 
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -184,7 +184,7 @@
 	}
 	s.ln = ln
 	ln.Refuse()
-	s.http = &http.Server{Handler: s, IdleTimeout: c.Conns.Idle, ErrorLog: log.New(io.Discard, "", 0),
+	s.http = &http.Server{Handler: s, IdleTimeout: c.Conns.Idle, ReadHeaderTimeout: c.Conns.Idle, ErrorLog: log.New(io.Discard, "", 0),
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, nc)
 		},
