--- a/internal/lab/check/answer.go
+++ b/internal/lab/check/answer.go
@@ -40,6 +40,8 @@
 	Closed bool // the agent ended the connection without a whole answer
 	Partly bool // some bytes of an answer came
 	Fresh  bool // it was the first request on its connection
+	// Surplus says that more came than the answer.
+	Surplus bool
 }
 
 // Answered judges a request's end by rule 1, and by what refusing one of its class
@@ -80,6 +82,9 @@
 	case a.Kind == Unanswered && a.Taken && a.At > limit:
 		c.breach(RuleLost, r, 0, -1, "no answer %v after its client gave up", a.At-r.Expires)
 	}
+	if a.Surplus {
+		c.breach(RuleLost, r, 0, -1, "more than one answer")
+	}
 	if class := &c.set.Classes[r.Class]; a.Kind == Refused && may != nil && !mayRefuse(class) {
 		c.breach(RuleDuplicate, r, 0, may.Server, "refused though attempt %d may have run", may.Index)
 	}
--- a/internal/lab/experiment/badagent_test.go
+++ b/internal/lab/experiment/badagent_test.go
@@ -175,6 +175,15 @@
 		return
 	case p.breaks == "lost" && now:
 		panic(http.ErrAbortHandler)
+	case p.breaks == "twice" && now && ok:
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		_, _ = io.WriteString(c, answer+answer)
+		c.Close()
+		return
 	case p.breaks == "crash" && now:
 		os.Exit(3)
 	case p.breaks == "forged" && now:
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -448,7 +448,7 @@
 
 // Expectations by what they bound.
 var figures = []string{"served", "refused", "failed", "late", "p50_ms", "p99_ms", "attempts", "probes", "connections",
-	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled"}
+	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores"}
 
 func (c *Config) validateExpects() error {
 	for i := range c.Expect {
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// seenSoFar returns the record of events.
+func (e *events) seenSoFar() []event {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.log)
+}
+
 // settings is what the agents are told, in the form that they take.
 func (c *Config) settings() policy.Settings {
 	r := &c.Rules
