--- /dev/null
+++ b/cmd/steward/faults_test.go
@@ -0,0 +1,609 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"molepaddle/internal/control"
+	"molepaddle/internal/endpoints"
+	"molepaddle/internal/lab/link"
+)
+
+// follow starts a reader.
+func (f *fleet) follow(at ...string) *reader {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &reader{hosts: map[string]endpoints.Host{}, stop: cancel, done: make(chan struct{})}
+	var addrs []string
+	for _, n := range at {
+		addrs = append(addrs, f.all[n].http)
+	}
+	go func() {
+		defer close(r.done)
+		for i := 0; ctx.Err() == nil; i++ {
+			r.mu.Lock()
+			seq := r.seq
+			r.mu.Unlock()
+			watch(ctx, addrs[i%len(addrs)], seq, r.take)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	f.t.Cleanup(cancel)
+	return r
+}
+
+// watch follows one steward until it ends, or is silent for longer than an agent waits.
+func watch(ctx context.Context, addr string, since int64, take func(*endpoints.List)) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(3500*time.Millisecond, cancel)
+	defer silent.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?follow=1&since=%d", addr, endpoints.Path, since), nil)
+	if err != nil {
+		return
+	}
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		silent.Reset(3500 * time.Millisecond)
+		var l endpoints.List
+		if len(lines.Bytes()) > 0 && json.Unmarshal(lines.Bytes(), &l) == nil {
+			take(&l)
+		}
+	}
+}
+
+// A leader that is killed, stopped, or no longer heard is replaced; writes go on, nothing
+// that was acknowledged is lost, no version goes back, and it catches up when it is well.
+func TestLeaderFails(t *testing.T) {
+	for _, fault := range []string{"killed", "stopped", "not heard", "hears nothing", "cut off"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 3)
+			w, r := f.write("s"), f.follow(f.names...)
+			f.until("writes", func() bool { return w.count() > 20 })
+			old := f.leader()
+			cut := func(out, in bool) {
+				for _, other := range f.others(old) {
+					if err := f.links[[2]string{old, other}].Set(link.Shape{Cut: out}, link.Shape{Cut: in}); err != nil {
+						t.Fatal(err)
+					}
+					if err := f.links[[2]string{other, old}].Set(link.Shape{Cut: in}, link.Shape{Cut: out}); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			var heal func()
+			switch fault {
+			case "killed":
+				f.kill(old)
+				heal = func() { f.start(old) }
+			case "stopped":
+				if err := f.all[old].proc.Signal(syscall.SIGSTOP); err != nil {
+					t.Fatal(err)
+				}
+				heal = func() { _ = f.all[old].proc.Signal(syscall.SIGCONT) }
+			case "not heard":
+				cut(true, false)
+				heal = func() { cut(false, false) }
+			case "hears nothing":
+				cut(false, true)
+				heal = func() { cut(false, false) }
+			case "cut off":
+				cut(true, true)
+				heal = func() { cut(false, false) }
+			}
+			f.until("another leader", func() bool {
+				for _, n := range f.others(old) {
+					if st, err := f.status(n); err == nil && st.State == "leader" {
+						return true
+					}
+				}
+				return false
+			})
+			f.register("during", 1, f.others(old)...)
+			f.until("read while the fault lasts", func() bool { _, ok := r.has("during"); return ok })
+			heal()
+			f.until("caught up", func() bool {
+				e, err := f.all[old].client.Server(context.Background(), "during", false)
+				return err == nil && e.Host.Host == "during"
+			})
+			before := w.count()
+			f.until("more writes", func() bool { return w.count() > before+20 })
+			w.end(f, f.names...)
+			r.end(t)
+		})
+	}
+}
+
+// Whatever is killed, however often, under writes: each that was acknowledged is there.
+func TestKillsInALoop(t *testing.T) {
+	f := newFleet(t, 3)
+	rng := seeded(t, 4)
+	w, r := f.write("s"), f.follow(f.names...)
+	for range 12 {
+		before := w.count()
+		f.until("writes", func() bool { return w.count() > before+15 })
+		victims := []string{f.names[rng.IntN(3)]}
+		if rng.IntN(4) == 0 { // all at once
+			victims = f.names
+		}
+		for _, name := range victims {
+			f.kill(name)
+		}
+		for _, name := range victims {
+			f.start(name)
+		}
+	}
+	w.end(f, f.names...)
+	r.end(t)
+}
+
+// With two of three gone nothing is written and nothing is lost; what is there is served
+// on; with one of them back writes go on.
+func TestQuorumLost(t *testing.T) {
+	f := newFleet(t, 3)
+	f.register("before", 1)
+	left := f.names[1]
+	r := f.follow(left)
+	f.until("read", func() bool { _, ok := r.has("before"); return ok })
+	for _, name := range f.others(left) {
+		f.kill(name)
+	}
+	f.until("stale", func() bool { st, err := f.status(left); return err == nil && st.Stale })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := f.all[left].client.Register(ctx, entry("never", 1)); err == nil {
+		t.Error("a write was acknowledged without the quorum")
+	}
+	if l, err := f.all[left].client.List(ctx); err != nil || len(l.Hosts) != 1 {
+		t.Errorf("a steward without a better one doesn't serve its list: %v %v", l, err)
+	}
+	if _, err := f.all[left].client.Server(ctx, "before", true); err == nil {
+		t.Error("a read as of now was answered without the quorum")
+	}
+	f.start(f.others(left)[0])
+	f.register("after", 1)
+	f.until("read on", func() bool { _, ok := r.has("after"); return ok })
+	if _, ok := r.has("never"); ok {
+		t.Error("a write that was refused is there")
+	}
+	r.end(t)
+}
+
+// A steward that has lost the quorum sends its watches to those that have it.
+func TestStaleSendsAway(t *testing.T) {
+	f := newFleet(t, 3)
+	f.register("s", 1)
+	cutOff := f.others(f.leader())[0]
+	r := f.follow(append([]string{cutOff}, f.others(cutOff)...)...)
+	f.until("read", func() bool { _, ok := r.has("s"); return ok })
+	for _, other := range f.others(cutOff) {
+		for _, key := range [][2]string{{cutOff, other}, {other, cutOff}} {
+			if err := f.links[key].Set(link.Shape{Cut: true}, link.Shape{Cut: true}); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	f.register("news", 1, f.others(cutOff)...)
+	f.until("told by a better one", func() bool { _, ok := r.has("news"); return ok })
+	resp, err := http.Get("http://" + f.all[cutOff].http + endpoints.Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("a stale steward answers %s though better ones are there", resp.Status)
+	}
+	r.end(t)
+}
+
+// A steward whose folder is gone joins anew, without a vote until the others took it in:
+// even where it comes back while another is gone, what was acknowledged stays.
+func TestFolderGone(t *testing.T) {
+	f := newFleet(t, 3)
+	w := f.write("s")
+	f.until("writes", func() bool { return w.count() > 100 })
+	victim := f.others(f.leader())[0]
+	f.kill(victim)
+	if err := os.RemoveAll(f.data(victim)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(victim)
+	f.until("a voter again", func() bool {
+		st, err := f.status(victim)
+		return err == nil && slices.Contains(st.Voters, victim) && len(st.Voters) == 3
+	})
+	w.end(f, f.names...)
+	// All the others' knowledge is its own now: with the old leader gone it makes a quorum.
+	f.kill(f.leader())
+	f.register("after", 1)
+}
+
+// A steward that lost its folder may have promised what it forgot, so it doesn't vote: with
+// the one gone that knows what was acknowledged, the two others wait for it.
+func TestForgetfulDoesNotVote(t *testing.T) {
+	f := newFleet(t, 3)
+	knows := f.leader()
+	forgets, lags := f.others(knows)[0], f.others(knows)[1]
+	f.kill(lags)
+	f.register("acknowledged", 1, knows)
+	f.kill(forgets)
+	f.kill(knows)
+	if err := os.RemoveAll(f.data(forgets)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(forgets)
+	f.start(lags)
+	f.until("both run", func() bool {
+		for _, name := range []string{forgets, lags} {
+			if _, err := f.status(name); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) { // ten heartbeats
+		for _, name := range []string{forgets, lags} {
+			if st, err := f.status(name); err == nil && st.State == "leader" {
+				t.Fatalf("%s leads by the vote of %s, which forgot", name, forgets)
+			}
+		}
+	}
+	f.start(knows)
+	f.until("what was acknowledged is there", func() bool {
+		e, err := f.client(f.names...).Server(context.Background(), "acknowledged", true)
+		return err == nil && e.Host.BornMs == 1
+	})
+}
+
+// Far behind, a steward is brought up by a snapshot.
+func TestSnapshotInstalled(t *testing.T) {
+	f := newFleet(t, 3)
+	behind := f.others(f.leader())[0]
+	f.kill(behind)
+	for i := range 300 { // several times what a log keeps
+		f.register(fmt.Sprint("s-", i%20), float64(i))
+	}
+	f.until("snapshots", func() bool {
+		found, _ := filepath.Glob(filepath.Join(f.data(f.leader()), "snapshots", "*", "state.bin"))
+		return len(found) > 0
+	})
+	f.start(behind)
+	f.until("caught up", func() bool {
+		e, err := f.all[behind].client.Server(context.Background(), "s-19", false)
+		return err == nil && e.Host.BornMs == 299
+	})
+}
+
+// All stewards are replaced by others, one by one, under writes.
+func TestAllReplaced(t *testing.T) {
+	f := newFleet(t, 3)
+	olds := slices.Clone(f.names)
+	for i := range 3 {
+		f.add(fmt.Sprint("st-", i+4))
+	}
+	for _, name := range f.names {
+		f.configure(name, f.names)
+	}
+	for _, name := range olds { // they learn of the new ones without an end
+		if err := f.all[name].proc.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w, r := f.write("s"), f.follow(f.names...)
+	for i, old := range olds {
+		next := fmt.Sprint("st-", i+4)
+		f.start(next) // its folder is empty: it asks to be taken in
+		f.until(next+" votes", func() bool {
+			st, err := f.status(next)
+			return err == nil && slices.Contains(st.Voters, next)
+		})
+		f.until(old+" is off the voters", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, err := f.client(f.names...).Peer(ctx, old, false)
+			st, serr := f.status(next)
+			return err == nil && serr == nil && !slices.Contains(st.Voters, old)
+		})
+		f.kill(old)
+		before := w.count()
+		f.until("writes go on", func() bool { return w.count() > before+20 })
+	}
+	st, err := f.status("st-5")
+	if err != nil || len(st.Voters) != 3 || slices.Contains(st.Voters, "st-1") {
+		t.Errorf("voters %v, %v", st.Voters, err)
+	}
+	w.end(f, "st-4", "st-5", "st-6")
+	r.end(t)
+}
+
+// Versions never go back: not after an old snapshot was put in place of the state, and not
+// with a fresh fleet at the same addresses. A reader that stayed up learns all that follows.
+func TestVersionsNeverGoBack(t *testing.T) {
+	f := newFleet(t, 1)
+	name := f.names[0]
+	c := f.all[name].client
+	ctx := context.Background()
+	f.register("old", 1)
+	saved, err := c.Snapshot(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.register("undone", 1)
+	r := f.follow(name)
+	f.until("read", func() bool { _, ok := r.has("undone"); return ok })
+	if _, err := c.Restore(ctx, saved); err != nil {
+		t.Fatal(err)
+	}
+	f.until("undone", func() bool { _, ok := r.has("undone"); return !ok })
+	if _, ok := r.has("old"); !ok {
+		t.Error("the snapshot's servers are not listed")
+	}
+	f.register("new", 1)
+	f.until("read after the restore", func() bool { _, ok := r.has("new"); return ok })
+
+	f.kill(name)
+	if err := os.RemoveAll(f.data(name)); err != nil {
+		t.Fatal(err)
+	}
+	f.start(name)
+	f.leader()
+	f.register("fresh", 1)
+	f.until("read of a fresh fleet", func() bool { _, ok := r.has("fresh"); return ok })
+	if _, ok := r.has("new"); ok {
+		t.Error("a fresh fleet lists what another did")
+	}
+	r.end(t)
+}
+
+// A damaged log is refused in one line that says so, and so is a folder that can't be
+// written or that another process uses; nothing in it changes.
+func TestDamagedFolder(t *testing.T) {
+	f := newFleet(t, 1)
+	name := f.names[0]
+	for i := range 30 {
+		f.register(fmt.Sprint("damaged-record-", i), 1)
+	}
+	refused := func(what, data, says string) {
+		t.Helper()
+		exe, _ := os.Executable()
+		p := f.sup.Add(f.all[name].proc.Spec)
+		p.Path, p.Log = exe, filepath.Join(f.dir, what+".log")
+		p.Args = []string{"serve", "--config", f.file(name), "--data", data, "--listen", "127.0.0.1:0", "--raft", "127.0.0.1:0"}
+		if err := p.Start(); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-p.Ended():
+		case <-time.After(soon):
+			t.Fatalf("%s: it runs", what)
+		}
+		text, _ := os.ReadFile(p.Log)
+		if strings.Count(string(text), "\n") != 1 || !strings.Contains(string(text), says) {
+			t.Errorf("%s: said %q, want one line with %q", what, text, says)
+		}
+	}
+	refused("in use", f.data(name), "another process uses")
+	f.kill(name)
+	refused("no folder", f.file(name), "data: ")
+	path := filepath.Join(f.data(name), "raft.db")
+	good, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := strings.LastIndex(string(good), "damaged-record-29")
+	if at < 0 {
+		t.Fatal("the record doesn't stand in the log")
+	}
+	for what, spoil := range map[string]func(b []byte) []byte{
+		"flipped": func(b []byte) []byte { // every copy: which of the pages counts is bolt's business
+			return []byte(strings.ReplaceAll(string(b), "damaged-record-29", "damaged-recorx-29"))
+		},
+		"torn":  func(b []byte) []byte { return b[:at] },
+		"blank": func(b []byte) []byte { clear(b[:8192]); return b },
+	} {
+		if err := os.WriteFile(path, spoil(slices.Clone(good)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		refused(what, f.data(name), "the log in "+f.data(name))
+	}
+	if err := os.WriteFile(path, good, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.start(name)
+	f.until("it is itself again", func() bool {
+		e, err := f.all[name].client.Server(context.Background(), "damaged-record-29", true)
+		return err == nil && e.Host.BornMs == 1
+	})
+}
+
+// Leases end for servers that are not heard, by the leader's clock; a new leader gives
+// each its full time again; a mass failure is held until it is confirmed.
+func TestLeases(t *testing.T) {
+	f := newFleet(t, 3)
+	f.extra = strings.Replace(f.extra, "10m", "3s", 1)
+	for _, name := range f.names {
+		f.kill(name)
+		f.configure(name, f.names)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	const n = 10
+	heard := n // servers from that number on are not heard
+	renew := make(chan int)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c := f.client(f.names...)
+		for t := time.NewTicker(200 * time.Millisecond); ; {
+			select {
+			case heard = <-renew:
+			case <-stop:
+				return
+			case <-t.C:
+			}
+			refs := renewals(heard)
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			_, _ = c.Renew(ctx, refs)
+			cancel()
+		}
+	}()
+	defer func() { close(stop); <-done }()
+	for i := range n {
+		f.register(fmt.Sprint("s-", i), 1)
+	}
+	listed := func() int {
+		st, err := f.status(f.leader())
+		if err != nil {
+			return -1
+		}
+		return st.Listed
+	}
+	f.until("all listed", func() bool { return listed() == n })
+	f.kill(f.leader())
+	f.until("another leader lists all", func() bool { return listed() == n })
+	renew <- 8 // two of ten fall silent: that may well be so
+	f.until("two lapsed", func() bool { return listed() == 8 })
+	renew <- 1 // all but one: that is more likely a fault of the observer
+	f.until("the rest held", func() bool {
+		st, err := f.status(f.leader())
+		return err == nil && st.Held >= 6 && st.Listed == 8
+	})
+	renew <- 3
+	f.until("two of them were heard again", func() bool {
+		st, err := f.status(f.leader())
+		return err == nil && st.Held == 5 && st.Listed == 8
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	f.until("confirmed", func() bool { return f.client(f.names...).Confirm(ctx) == nil })
+	f.until("they are off the list", func() bool { return listed() == 3 })
+}
+
+// Bad input is one line with a 4xx and changes nothing.
+func TestBadInput(t *testing.T) {
+	f := newFleet(t, 1)
+	at := "http://" + f.all[f.names[0]].http
+	f.register("s", 5)
+	before, _ := f.status(f.names[0])
+	good := `{"host":"x","dial":"127.0.0.1:9","site":"a","class":"k","block":0,"health":"ready","share":1,"born_ms":5}`
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		says               string
+	}{
+		{"PUT", "/v1/servers/x", "{", 400, "body: "},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"site"`, `"sight"`, 1), 400, "sight"},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"ready"`, `"fine"`, 1), 400, "health: unknown word"},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"ready"`, `"gone"`, 1), 400, "health: "},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `127.0.0.1:9"`, `nowhere"`, 1), 400, "dial: "},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"share":1`, `"share":-1`, 1), 400, "share: "},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"born_ms":5`, `"born_ms":0.5`, 1), 400, "born_ms: "},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"x"`, `"y"`, 1), 400, "host: "},
+		{"PUT", "/v1/servers/x", good + good, 400, "more than one value"},
+		{"PUT", "/v1/servers/x", strings.Replace(good, `"a"`, `"`+strings.Repeat("a", 70_000)+`"`, 1), 400, "too large"},
+		{"PUT", "/v1/servers/%0a", strings.Replace(good, `"x"`, `"\n"`, 1), 400, "host: "},
+		{"PUT", "/v1/servers/s", strings.Replace(strings.Replace(good, `"x"`, `"s"`, 1), `"born_ms":5`, `"born_ms":4`, 1), 409, "superseded: "},
+		{"PATCH", "/v1/servers/s", "{}", 400, "neither"},
+		{"PATCH", "/v1/servers/s", `{"health":"odd"}`, 400, "health: "},
+		{"PATCH", "/v1/servers/s", `{"share":2,"if":1}`, 412, "conflict: "},
+		{"PATCH", "/v1/servers/none", `{"share":2}`, 404, "unknown: "},
+		{"DELETE", "/v1/servers/s", "", 400, "born_ms: "},
+		{"DELETE", "/v1/servers/s?born_ms=4", "", 409, "superseded: "},
+		{"POST", "/v1/servers/s/drain?born_ms=6", "", 404, "unknown: "},
+		{"POST", "/v1/renewals", `{"refs":[` + strings.Repeat(`{"name":"a","born_ms":1},`, 2000) + `{"name":"a","born_ms":1}]}`, 400, "refs: "},
+		{"PUT", "/v1/snapshot", `{"form":99}`, 400, "form 99"},
+		{"PUT", "/v1/snapshot", `{"form":1,"entries":{"a":null}}`, 400, "not itself"},
+		{"PUT", "/v1/peers/nobody", "", 400, "not in the leader's table"},
+		{"DELETE", "/v1/peers/" + f.names[0], "", 400, "only one"},
+		{"POST", "/v1/seen", `{"seq":4503599627370496}`, 400, "seq: "},
+		{"GET", "/v1/endpoints?follow=1&since=old", "", 400, "since: "},
+		{"GET", "/v1/endpoints?follow=1&since=-3", "", 400, "since: "},
+		{"GET", "/v1/servers/none", "", 404, "no server"},
+		{"POST", "/v1/endpoints", "", 405, "Method"},
+	} {
+		req, err := http.NewRequest(c.method, at+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := make([]byte, 2000)
+		n, _ := resp.Body.Read(text)
+		resp.Body.Close()
+		said := string(text[:n])
+		if resp.StatusCode != c.status || !strings.Contains(said, c.says) || strings.Count(said, "\n") != 1 {
+			t.Errorf("%s %s %.80s: %d %q, want %d and one line with %q", c.method, c.path, c.body, resp.StatusCode, said, c.status, c.says)
+		}
+	}
+	after, err := f.status(f.names[0])
+	if err != nil || after.Seq != before.Seq || after.Listed != 1 {
+		t.Errorf("something changed: %+v after %+v, %v", after, before, err)
+	}
+	var st control.Status
+	if st, err = f.status(f.names[0]); err != nil || st.State != "leader" {
+		t.Errorf("%+v %v", st, err)
+	}
+}
+
+// A leader that was stopped and wakes finds reads as of now that came after a write at the
+// next leader, and may think that it still leads: it answers none with what was so before.
+func TestWakesToReads(t *testing.T) {
+	f := newFleet(t, 3)
+	f.register("s", 1)
+	for round := range 4 {
+		old := f.leader()
+		if err := f.all[old].proc.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		f.register("s", float64(round+2), f.others(old)...)
+		const reads = 40
+		born, sent := make(chan float64, reads), make(chan struct{}, reads)
+		for range reads {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), soon)
+				defer cancel()
+				ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sent <- struct{}{} }})
+				e, err := control.NewClient([]string{f.all[old].http}, soon).Server(ctx, "s", true)
+				if err != nil {
+					e.Host.BornMs = -1
+				}
+				born <- e.Host.BornMs
+			}()
+		}
+		for range reads {
+			<-sent
+		}
+		if err := f.all[old].proc.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		for range reads {
+			if got := <-born; got >= 0 && got != float64(round+2) {
+				t.Fatalf("round %d: a read that came after the write of %d was answered with %v", round, round+2, got)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/steward/fleet_test.go
@@ -0,0 +1,364 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/catalog"
+	"molepaddle/internal/control"
+	"molepaddle/internal/endpoints"
+	"molepaddle/internal/lab/link"
+	"molepaddle/internal/lab/loopback"
+	"molepaddle/internal/lab/process"
+)
+
+// TestMain makes the test binary a steward when it is started as one.
+func TestMain(m *testing.M) {
+	if os.Getenv("STEWARD_CHILD") == "1" {
+		os.Unsetenv("STEWARD_CHILD")
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// soon bounds what is waited for on a busy machine.
+const soon = time.Minute
+
+// fleet is some stewards as processes, with a link from each to each that replicates.
+type fleet struct {
+	t     *testing.T
+	dir   string
+	addrs *loopback.Net
+	sup   *process.Supervisor
+	all   map[string]*steward
+	names []string
+	links map[[2]string]*link.Link // from, to
+	extra string                   // of each configuration
+}
+
+type steward struct {
+	name, http, raft string
+	proc             *process.Process
+	client           *control.Client
+}
+
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	addrs, err := loopback.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, dir: t.TempDir(), addrs: addrs, all: map[string]*steward{}, links: map[[2]string]*link.Link{},
+		// Wide of what a busy machine makes of a heartbeat, and leases that last a test.
+		extra: "heartbeat = \"300ms\"\nlease_ttl = \"10m\"\nsnapshot_every = 64\nsnapshot_check = \"500ms\"\n"}
+	f.sup = process.New(nil)
+	t.Cleanup(func() {
+		f.sup.Close()
+		for _, l := range f.links {
+			l.Close()
+		}
+		addrs.Close()
+		if t.Failed() {
+			for _, s := range f.all {
+				text, _ := os.ReadFile(s.proc.Log)
+				t.Logf("%s:\n%s", s.name, text[max(0, len(text)-2500):])
+			}
+		}
+	})
+	for i := range n {
+		f.add(fmt.Sprint("st-", i+1))
+	}
+	for _, name := range f.names {
+		f.configure(name, f.names)
+		f.start(name)
+	}
+	f.leader()
+	return f
+}
+
+// add makes a steward that is not configured yet.
+func (f *fleet) add(name string) *steward {
+	f.t.Helper()
+	s := &steward{name: name}
+	for _, addr := range []*string{&s.http, &s.raft} {
+		var err error
+		if *addr, err = f.addrs.FreePort(); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s.client = control.NewClient([]string{s.http}, 6*time.Second)
+	s.proc = f.sup.Add(process.Spec{Name: name, Path: exe, Args: []string{"serve", "--config", f.file(name)}, Env: []string{"STEWARD_CHILD=1"},
+		Log: filepath.Join(f.dir, name+".log")})
+	f.all[name], f.names = s, append(f.names, name)
+	return s
+}
+
+func (f *fleet) file(name string) string { return filepath.Join(f.dir, name+".toml") }
+func (f *fleet) data(name string) string { return filepath.Join(f.dir, name+".data") }
+
+// configure writes a steward's configuration: its own table leads over its own links.
+func (f *fleet) configure(name string, peers []string) {
+	f.t.Helper()
+	s := f.all[name]
+	text := fmt.Sprintf("name = %q\ndata = %q\nlisten = %q\nraft = %q\n%s", name, f.data(name), s.http, s.raft, f.extra)
+	for _, to := range peers {
+		raft := s.raft
+		if to != name {
+			key := [2]string{name, to}
+			if f.links[key] == nil {
+				l, err := link.New(f.addrs.IP()+":0", f.all[to].raft, 1)
+				if err != nil {
+					f.t.Fatal(err)
+				}
+				f.links[key] = l
+			}
+			raft = f.links[key].Addr()
+		}
+		text += fmt.Sprintf("[peers.%s]\nhttp = %q\nraft = %q\n", to, f.all[to].http, raft)
+	}
+	if err := os.WriteFile(f.file(name), []byte(text), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) start(name string) {
+	f.t.Helper()
+	if err := f.all[name].proc.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// kill is SIGKILL; it returns once the process has gone.
+func (f *fleet) kill(name string) {
+	f.t.Helper()
+	ended := f.all[name].proc.Ended()
+	f.all[name].proc.Kill()
+	<-ended
+}
+
+// until waits for something to be so.
+func (f *fleet) until(what string, is func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(soon); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("never %s", what)
+		}
+	}
+}
+
+func (f *fleet) status(name string) (control.Status, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return f.all[name].client.Status(ctx)
+}
+
+// leader waits until one steward leads and takes writes.
+func (f *fleet) leader() (name string) {
+	f.t.Helper()
+	f.until("a leader", func() bool {
+		for _, n := range f.names {
+			if st, err := f.status(n); err == nil && st.State == "leader" && st.Seq > 0 {
+				name = n
+				return true
+			}
+		}
+		return false
+	})
+	return name
+}
+
+// others are all stewards but one.
+func (f *fleet) others(name string) (out []string) {
+	for _, n := range f.names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// client asks the stewards named, in this order.
+func (f *fleet) client(names ...string) *control.Client {
+	var addrs []string
+	for _, n := range names {
+		addrs = append(addrs, f.all[n].http)
+	}
+	return control.NewClient(addrs, 6*time.Second)
+}
+
+func entry(name string, born float64) endpoints.Host {
+	return endpoints.Host{Host: name, Dial: "127.0.0.1:9", Site: "a", Class: "k", Health: endpoints.Ready, Share: 1, BornMs: born}
+}
+
+// register writes until it is acknowledged, at whichever steward takes it.
+func (f *fleet) register(name string, born float64, at ...string) catalog.Result {
+	f.t.Helper()
+	if len(at) == 0 {
+		at = f.names
+	}
+	var r catalog.Result
+	var err error
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		r, err = f.client(at...).Register(ctx, entry(name, born))
+		cancel()
+		if err == nil {
+			return r
+		}
+	}
+	f.t.Fatalf("%s was never taken: %v", name, err)
+	return r
+}
+
+// writer registers one server after the other, and remembers what was acknowledged.
+type writer struct {
+	mu    sync.Mutex
+	acked map[string]float64
+	gaps  []time.Duration // between two acknowledgements
+	last  time.Time
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func (f *fleet) write(prefix string) *writer {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &writer{acked: map[string]float64{}, stop: cancel, done: make(chan struct{}), last: time.Now()}
+	// Impatient, as a server is that renews: it goes on to the next steward.
+	c := control.NewClient(f.client(f.names...).Addrs, time.Second)
+	go func() {
+		defer close(w.done)
+		for i := 0; ctx.Err() == nil; i++ {
+			name := fmt.Sprintf("%s-%d", prefix, i%40)
+			c.Addrs = append(c.Addrs[1:], c.Addrs[0])
+			call, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+			_, err := c.Register(call, entry(name, float64(i)))
+			cancel()
+			var refused *control.HTTPError
+			if err != nil {
+				if errors.As(err, &refused) {
+					time.Sleep(5 * time.Millisecond)
+				}
+				continue
+			}
+			w.mu.Lock()
+			w.acked[name] = float64(i)
+			w.gaps = append(w.gaps, time.Since(w.last))
+			w.last = time.Now()
+			w.mu.Unlock()
+		}
+	}()
+	return w
+}
+
+func (w *writer) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.gaps)
+}
+
+// end stops the writer and holds that all it was told is there, at each steward named.
+func (w *writer) end(f *fleet, at ...string) {
+	f.t.Helper()
+	w.stop()
+	<-w.done
+	for _, name := range at {
+		var all []catalog.Entry
+		f.until(name+" reads", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			var err error
+			all, err = f.all[name].client.Servers(ctx, true)
+			return err == nil
+		})
+		have := map[string]float64{}
+		for _, e := range all {
+			have[e.Host.Host] = e.Host.BornMs
+		}
+		for server, born := range w.acked {
+			// A later write whose answer was lost may be there too, never an earlier one.
+			if got, ok := have[server]; !ok || got < born {
+				f.t.Errorf("%s: %s was acknowledged with born_ms %v, there is %v (%v)", name, server, born, got, ok)
+			}
+		}
+	}
+	if len(w.acked) == 0 {
+		f.t.Error("nothing was acknowledged at all")
+	}
+}
+
+// reader follows the list as an agent does, from steward to steward, and notes when a
+// version goes back.
+type reader struct {
+	mu    sync.Mutex
+	seq   int64
+	back  []string
+	hosts map[string]endpoints.Host
+	whole int
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+func (r *reader) has(name string) (endpoints.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.hosts[name]
+	return h, ok
+}
+
+func (r *reader) take(l *endpoints.List) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.Seq < r.seq {
+		r.back = append(r.back, fmt.Sprintf("%d after %d", l.Seq, r.seq))
+	}
+	r.seq = l.Seq
+	if l.Whole {
+		r.whole++
+		clear(r.hosts)
+	}
+	for _, h := range l.Hosts {
+		if r.hosts[h.Host] = h; h.Health == endpoints.Gone {
+			delete(r.hosts, h.Host)
+		}
+	}
+}
+
+// end stops the reader; its versions never went back.
+func (r *reader) end(t *testing.T) {
+	t.Helper()
+	r.stop()
+	<-r.done
+	if len(r.back) > 0 {
+		t.Errorf("versions went back: %s", strings.Join(r.back, ", "))
+	}
+}
+
+// seeded draws for a test, and says from what when it fails.
+func seeded(t *testing.T, seed uint64) *rand.Rand {
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d", seed)
+		}
+	})
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+func renewals(n int) (refs []catalog.Ref) {
+	for i := range n {
+		refs = append(refs, catalog.Ref{Name: fmt.Sprint("s-", i), BornMs: 1})
+	}
+	return refs
+}
--- /dev/null
+++ b/cmd/steward/main.go
@@ -0,0 +1,293 @@
+// Command steward is a control process of the fleet, and the operators' command line to
+// it. `steward serve` hosts the list service.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/olekukonko/tablewriter"
+	"github.com/olekukonko/tablewriter/renderer"
+	"github.com/olekukonko/tablewriter/tw"
+	"github.com/spf13/cobra"
+
+	"molepaddle/internal/control"
+)
+
+// callWait is how long the command line waits for a steward.
+const callWait = 40 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := command(os.Stdout).ExecuteContext(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "steward:", strings.ReplaceAll(err.Error(), "\n", " "))
+		os.Exit(1)
+	}
+}
+
+func command(out io.Writer) *cobra.Command {
+	root := &cobra.Command{Use: "steward", Short: "The fleet's list service, and the command line to it",
+		SilenceUsage: true, SilenceErrors: true}
+	root.SetOut(out)
+	var at []string
+	root.PersistentFlags().StringSliceVar(&at, "at", []string{"127.0.0.1:8500"}, "HTTP addresses of stewards, the first that answers is asked")
+	client := func() *control.Client { return control.NewClient(at, callWait) }
+	root.AddCommand(serveCommand(), statusCommand(out, client), serversCommand(out, client), snapshotCommand(out, client),
+		peerCommand(out, client), confirmCommand(out, client))
+	return root
+}
+
+func serveCommand() *cobra.Command {
+	var config string
+	cmd := &cobra.Command{Use: "serve", Short: "Run a steward", Args: cobra.NoArgs,
+		Long: "serve runs a steward until SIGTERM. Its configuration is a TOML file, then the environment\n" +
+			"(STEWARD_LEASE_TTL is lease_ttl), then flags. One alone needs no more than a data folder. SIGHUP\n" +
+			"reads the table of peers again.",
+		Example: "  steward serve --data /var/lib/steward\n  steward serve --config steward.toml"}
+	flags := cmd.Flags()
+	flags.StringVar(&config, "config", "", "TOML file")
+	for _, f := range [][2]string{{"name", "name of this steward"}, {"data", "folder of the log and the snapshots"},
+		{"listen", "HTTP address"}, {"raft", "address that the other stewards replicate to"}, {"log_level", "debug, info, warn or error"}} {
+		flags.String(f[0], "", f[1])
+	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		set := map[string]any{}
+		for _, key := range []string{"name", "data", "listen", "raft", "log_level"} {
+			if f := flags.Lookup(key); f.Changed {
+				set[key] = f.Value.String()
+			}
+		}
+		return serve(cmd.Context(), config, set)
+	}
+	return cmd
+}
+
+func serve(ctx context.Context, path string, set map[string]any) error {
+	c, err := control.LoadConfig(path, set)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(c.LogLevel)) // checked with the configuration
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("steward", c.Name)
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
+	n, err := control.Start(ctx, c, log)
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	for {
+		wait, cancel := context.WithCancel(ctx)
+		hup := make(chan struct{})
+		go func() {
+			select {
+			case <-again:
+				close(hup)
+				cancel()
+			case <-wait.Done():
+			}
+		}()
+		err := n.Wait(wait)
+		cancel()
+		select {
+		case <-hup:
+			if next, err := control.LoadConfig(path, set); err != nil {
+				log.Error("SIGHUP: the configuration stays as it was", "err", err)
+			} else {
+				n.Reload(next)
+			}
+		default:
+			return err
+		}
+	}
+}
+
+func statusCommand(out io.Writer, client func() *control.Client) *cobra.Command {
+	return &cobra.Command{Use: "status", Short: "Show how the stewards stand", Args: cobra.NoArgs,
+		Example: "  steward status --at 127.0.0.1:8500,127.0.0.1:8510",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c := client()
+			var rows [][]string
+			var notes []string
+			answered := false
+			for _, addr := range c.Addrs {
+				st, err := control.NewClient([]string{addr}, callWait).Status(cmd.Context())
+				if err != nil {
+					rows = append(rows, []string{addr, "", "no answer", "", "", "", "", ""})
+					continue
+				}
+				answered = true
+				state := st.State
+				if st.Stale {
+					state += ", stale"
+				}
+				rows = append(rows, []string{addr, st.Name, state, st.Leader, fmt.Sprint(st.Seq), fmt.Sprint(st.Listed),
+					fmt.Sprint(st.Watches), strings.Join(st.Voters, " ")})
+				if st.Held > 0 {
+					notes = append(notes, fmt.Sprintf("%s: %d servers would have lapsed at once and stay listed, for %v now; 'steward confirm' says that they are gone",
+						st.Name, st.Held, (time.Duration(st.HeldForMs)*time.Millisecond).Round(time.Second)))
+				}
+			}
+			if err := table(out, []string{"address", "name", "state", "leader", "version", "listed", "watches", "voters"}, rows); err != nil {
+				return err
+			}
+			for _, note := range notes {
+				fmt.Fprintln(out, note)
+			}
+			if !answered {
+				return errors.New("no steward answers")
+			}
+			return nil
+		}}
+}
+
+func serversCommand(out io.Writer, client func() *control.Client) *cobra.Command {
+	var share float64
+	var health string
+	var version int64
+	cmd := &cobra.Command{Use: "servers", Short: "Show the servers, or change what one is listed as", Args: cobra.NoArgs,
+		Example: "  steward servers\n  steward servers set s-03 --share 0.5 --if 1789\n  steward servers set s-03 --health draining",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := client().Servers(cmd.Context(), true)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for i := range all {
+				e := &all[i]
+				h := e.Listed()
+				note := ""
+				switch {
+				case e.Ended:
+					note = "ended"
+				case e.Damped > 0:
+					note = "kept off for coming and going"
+				case e.Held:
+					note = "not heard; held"
+				}
+				rows = append(rows, []string{h.Host, h.Health, h.Dial, h.Site, h.Class, fmt.Sprintf("%g", h.Share), fmt.Sprint(e.Version), note})
+			}
+			return table(out, []string{"server", "health", "dial", "site", "class", "share", "version", ""}, rows)
+		}}
+	set := &cobra.Command{Use: "set NAME", Short: "Set a server's share or health, over its own word", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			w := control.Word{If: version}
+			if cmd.Flags().Changed("share") {
+				w.Share = &share
+			}
+			if cmd.Flags().Changed("health") {
+				w.Health = &health
+			}
+			if w.Share == nil && w.Health == nil {
+				return errors.New("--share, --health: neither is given")
+			}
+			r, err := client().Set(cmd.Context(), args[0], w)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%s is as you say from version %d on\n", args[0], r.Seq)
+			return nil
+		}}
+	set.Flags().Float64Var(&share, "share", 0, "share, 0 or above")
+	set.Flags().StringVar(&health, "health", "", "ready, draining, or empty for the server's own word")
+	set.Flags().Int64Var(&version, "if", 0, "only if the entry has this version")
+	cmd.AddCommand(set)
+	return cmd
+}
+
+func snapshotCommand(out io.Writer, client func() *control.Client) *cobra.Command {
+	cmd := &cobra.Command{Use: "snapshot", Short: "Save the state to a file, or put one in its place"}
+	cmd.AddCommand(&cobra.Command{Use: "save FILE", Short: "Save the state as it is now", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := client().Snapshot(cmd.Context())
+			if err != nil {
+				return err
+			}
+			// Whole or not at all, and on the disk before it is called saved.
+			f, err := os.OpenFile(args[0]+".part", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+			if err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+			_, err = f.Write(text)
+			err = errors.Join(err, f.Sync(), f.Close())
+			if err == nil {
+				err = os.Rename(args[0]+".part", args[0])
+			}
+			if err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+			fmt.Fprintf(out, "%d bytes in %s\n", len(text), args[0])
+			return nil
+		}}, &cobra.Command{Use: "restore FILE", Short: "Put a saved state in place of the present one; versions go on", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return fmt.Errorf("snapshot: %w", err)
+			}
+			st, err := client().Restore(cmd.Context(), text)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "%d servers listed, version %d\n", st.Listed, st.Seq)
+			return nil
+		}})
+	return cmd
+}
+
+func peerCommand(out io.Writer, client func() *control.Client) *cobra.Command {
+	cmd := &cobra.Command{Use: "peer", Short: "Take a steward in, or off the voters",
+		Long: "A steward that is taken in must stand in the others' tables of peers; it votes once it has caught up."}
+	for _, add := range []bool{true, false} {
+		use, short := "remove NAME", "Take a steward off the voters"
+		if add {
+			use, short = "add NAME", "Take a steward in"
+		}
+		cmd.AddCommand(&cobra.Command{Use: use, Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				st, err := client().Peer(cmd.Context(), args[0], add)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(out, "voters:", strings.Join(st.Voters, " "))
+				return nil
+			}})
+	}
+	return cmd
+}
+
+func confirmCommand(out io.Writer, client func() *control.Client) *cobra.Command {
+	return &cobra.Command{Use: "confirm", Short: "Confirm that the servers are gone that a mass failure keeps listed", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := client().Confirm(cmd.Context()); err != nil {
+				return err
+			}
+			fmt.Fprintln(out, "what was held is off the list")
+			return nil
+		}}
+}
+
+func table(w io.Writer, head []string, rows [][]string) error {
+	t := tablewriter.NewTable(w, tablewriter.WithRenderer(renderer.NewBlueprint(tw.Rendition{Borders: tw.BorderNone,
+		Settings: tw.Settings{Separators: tw.Separators{BetweenRows: tw.Off, BetweenColumns: tw.Off}}})),
+		tablewriter.WithHeaderAutoFormat(tw.Off), tablewriter.WithHeaderAlignment(tw.AlignLeft), tablewriter.WithRowAlignment(tw.AlignLeft))
+	t.Header(head)
+	if err := t.Bulk(rows); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	if err := t.Render(); err != nil {
+		return fmt.Errorf("table: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,456 @@
+// Package catalog is the replicated state of the list service, as a pure state machine:
+// commands and the leader's elapsed time go in, a new state and a result come out. It does
+// no I/O, has no clock and draws nothing, so that every process that applies one log comes
+// to one state.
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"molepaddle/internal/endpoints"
+)
+
+// Form is the version of commands and snapshots that this build writes and reads.
+const Form = 1
+
+// Kind names a command.
+type Kind string
+
+// The commands.
+const (
+	Floor    Kind = "floor"    // Seq: the version is at least that from now on
+	Register Kind = "register" // Host
+	Drain    Kind = "drain"    // Refs: they complete what they hold
+	Leave    Kind = "leave"    // Refs: they have ended as planned
+	Lapse    Kind = "lapse"    // Refs: their leases ended
+	Hold     Kind = "hold"     // Refs: theirs did too, but too many at once to be believed
+	Seen     Kind = "seen"     // Refs: held ones that were heard again
+	Confirm  Kind = "confirm"  // an operator says that the held ones are gone
+	Admit    Kind = "admit"    // Refs: their damping is over
+	Set      Kind = "set"      // Name, Share, Health, If: an operator's word
+)
+
+// Ref names one process of a server: its name, and when it was born.
+type Ref struct {
+	Name   string  `json:"name"`
+	BornMs float64 `json:"born_ms"`
+}
+
+// Command is one change of the state, as it stands in the log.
+type Command struct {
+	Form   int             `json:"form"`
+	Kind   Kind            `json:"kind"`
+	At     time.Duration   `json:"at"` // the leader's elapsed time
+	Seq    int64           `json:"seq,omitempty"`
+	Host   *endpoints.Host `json:"host,omitempty"`
+	Refs   []Ref           `json:"refs,omitempty"`
+	Name   string          `json:"name,omitempty"`
+	Share  *float64        `json:"share,omitempty"`
+	Health *string         `json:"health,omitempty"` // "" takes an operator's word back
+	If     int64           `json:"if,omitempty"`     // only if the entry's version is that one; 0: in any case
+}
+
+// Code says what became of a command.
+type Code string
+
+// The codes.
+const (
+	Done        Code = ""
+	Superseded  Code = "superseded"  // a newer process has the name
+	Unknown     Code = "unknown"     // no such entry, or it is gone
+	Conflict    Code = "conflict"    // the entry has another version by now
+	Invalid     Code = "invalid"     // the command makes no sense
+	TooMany     Code = "too many"    // the table of entries is full
+	Unsupported Code = "unsupported" // this build doesn't know the command
+)
+
+// Result is what became of a command.
+type Result struct {
+	Code Code   `json:"code,omitempty"`
+	Seq  int64  `json:"seq"` // the version after it
+	Text string `json:"text,omitempty"`
+	// DampedFor is how long the entry stays unlisted for coming and going too often.
+	DampedFor time.Duration `json:"damped_for,omitempty"`
+}
+
+// Bounds of the state.
+const (
+	// MaxEntries is how many names there may be, those kept for a while after their end included.
+	MaxEntries = 20_000
+	// MaxHistory is how many changes are kept for watches; one from before them gets the whole list.
+	MaxHistory = 4096
+	// keepGone is how long the end of a name is remembered: for an older process of that
+	// name that is heard late, and for its comings and goings.
+	keepGone = 10 * time.Minute
+	// A server that ended flapAfter times within flapWindow is kept off the list for
+	// flapFirst, and twice as long each time more, up to flapMost.
+	flapAfter  = 3
+	flapWindow = time.Minute
+	flapFirst  = 5 * time.Second
+	flapMost   = time.Minute
+)
+
+// Entry is a server as the state knows it.
+type Entry struct {
+	Host    endpoints.Host  `json:"host"` // as it was registered
+	Version int64           `json:"version"`
+	Share   *float64        `json:"share,omitempty"`  // an operator's
+	Health  string          `json:"health,omitempty"` // an operator's
+	Ended   bool            `json:"ended,omitempty"`
+	EndedAt time.Duration   `json:"ended_at,omitempty"`
+	Held    bool            `json:"held,omitempty"`   // would have lapsed in a mass failure
+	Ends    []time.Duration `json:"ends,omitempty"`   // its last ends
+	Damped  time.Duration   `json:"damped,omitempty"` // unlisted until then; 0: it is not
+}
+
+// Listed is the entry as readers see it.
+func (e *Entry) Listed() endpoints.Host {
+	h := e.Host
+	if e.Share != nil {
+		h.Share = *e.Share
+	}
+	if e.Health != "" {
+		h.Health = e.Health
+	}
+	if e.Ended || e.Damped > 0 {
+		h.Health = endpoints.Gone
+	}
+	return h
+}
+
+// change is one version's cause.
+type change struct {
+	Seq  int64  `json:"seq"`
+	Name string `json:"name"`
+}
+
+// State is all that the stewards replicate. It is not safe for concurrent use.
+type State struct {
+	Form    int               `json:"form"`
+	Seq     int64             `json:"seq"`
+	Clock   time.Duration     `json:"clock"`
+	Entries map[string]*Entry `json:"entries"`
+	History []change          `json:"history"`
+	// HeldSince is since when entries are kept that would have lapsed; 0: none is.
+	HeldSince time.Duration `json:"held_since,omitempty"`
+}
+
+// New is the empty state.
+func New() *State { return &State{Form: Form, Entries: map[string]*Entry{}} }
+
+// Encode words the state; one state has one wording.
+func (s *State) Encode() ([]byte, error) {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode the state: %w", err)
+	}
+	return text, nil
+}
+
+// Decode reads what Encode wrote, and refuses what this build can't read.
+func Decode(text []byte) (*State, error) {
+	s := New()
+	s.Form = 0
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if s.Form != Form {
+		return nil, fmt.Errorf("snapshot: form %d, this build reads form %d", s.Form, Form)
+	}
+	if s.Entries == nil {
+		s.Entries = map[string]*Entry{}
+	}
+	for name, e := range s.Entries {
+		if e == nil || e.Host.Host != name {
+			return nil, fmt.Errorf("snapshot: entry %q is not itself", name)
+		}
+		if err := e.Host.Validate(); err != nil {
+			return nil, fmt.Errorf("snapshot: entry %q: %w", name, err)
+		}
+	}
+	last := int64(math.MinInt64)
+	for _, c := range s.History {
+		if c.Seq <= last || c.Seq > s.Seq || s.Entries[c.Name] == nil {
+			return nil, fmt.Errorf("snapshot: the history is out of order at version %d", c.Seq)
+		}
+		last = c.Seq
+	}
+	return s, nil
+}
+
+// Apply carries out one command. Time never goes back, whoever leads.
+func (s *State) Apply(c *Command) Result {
+	if c.Form != Form {
+		return s.result(Unsupported, fmt.Sprintf("form %d, this build reads form %d", c.Form, Form))
+	}
+	s.Clock = max(s.Clock, c.At)
+	switch c.Kind {
+	case Floor:
+		if c.Seq > s.Seq {
+			// A reader who comes with a version below it may have it from another life of the
+			// service, so no change leads on from there: it gets the whole list.
+			s.Seq, s.History = c.Seq, nil
+		}
+		return s.result(Done, "")
+	case Register:
+		return s.register(c.Host)
+	case Drain, Leave, Lapse, Hold, Seen, Admit:
+		return s.each(c.Kind, c.Refs)
+	case Confirm:
+		return s.confirm()
+	case Set:
+		return s.set(c)
+	}
+	return s.result(Unsupported, fmt.Sprintf("unknown command %q", c.Kind))
+}
+
+func (s *State) result(code Code, text string) Result {
+	return Result{Code: code, Seq: s.Seq, Text: text}
+}
+
+// touch gives the state its next version, which is the entry's.
+func (s *State) touch(e *Entry) {
+	s.Seq++
+	e.Version = s.Seq
+	if len(s.History) >= MaxHistory {
+		s.History = append(s.History[:0], s.History[len(s.History)-MaxHistory+1:]...)
+	}
+	s.History = append(s.History, change{s.Seq, e.Host.Host})
+}
+
+// register takes a server's word for itself. The process that was born last has the name.
+func (s *State) register(h *endpoints.Host) Result {
+	if h == nil {
+		return s.result(Invalid, "no entry")
+	}
+	if err := h.Validate(); err != nil {
+		return s.result(Invalid, err.Error())
+	}
+	if h.Health == endpoints.Gone {
+		return s.result(Invalid, "health: a server that is gone doesn't register")
+	}
+	e := s.Entries[h.Host]
+	if e == nil {
+		if len(s.Entries) >= MaxEntries {
+			s.forget()
+		}
+		if len(s.Entries) >= MaxEntries {
+			return s.result(TooMany, fmt.Sprintf("%d names, which is all there is room for", MaxEntries))
+		}
+		e = &Entry{Host: *h}
+		s.Entries[h.Host] = e
+		s.touch(e)
+		return s.result(Done, "")
+	}
+	if e.Host.BornMs > h.BornMs {
+		return s.result(Superseded, fmt.Sprintf("%s was born later, at %.0f", h.Host, e.Host.BornMs))
+	}
+	was := e.Listed()
+	held := e.Held
+	again := e.Ended
+	if !e.Ended && e.Host.BornMs < h.BornMs {
+		s.end(e) // the process before ended and nobody noticed
+		again = true
+	}
+	e.Host, e.Held, e.Ended, e.EndedAt = *h, false, false, 0
+	if again {
+		e.Damped = s.damp(e)
+	}
+	if held {
+		s.settle()
+	}
+	if e.Listed() != was || again && e.Damped == 0 {
+		s.touch(e)
+	}
+	r := s.result(Done, "")
+	if e.Damped > 0 {
+		r.DampedFor = e.Damped - s.Clock
+	}
+	return r
+}
+
+// end notes the end of an entry's process.
+func (s *State) end(e *Entry) {
+	e.Ended, e.EndedAt, e.Held = true, s.Clock, false
+	e.Ends = append(e.Ends, s.Clock)
+	if most := flapAfter + 5; len(e.Ends) > most {
+		e.Ends = e.Ends[len(e.Ends)-most:]
+	}
+}
+
+// damp tells until when a server that came back stays unlisted; 0: it is listed at once.
+func (s *State) damp(e *Entry) time.Duration {
+	n := 0
+	for _, at := range e.Ends {
+		if s.Clock-at <= flapWindow {
+			n++
+		}
+	}
+	if n <= flapAfter {
+		return 0
+	}
+	return s.Clock + min(flapFirst<<(n-flapAfter-1), flapMost)
+}
+
+// each carries out a command on the processes that it names; one that has been replaced
+// or has ended meanwhile is passed over.
+func (s *State) each(kind Kind, refs []Ref) Result {
+	done := 0
+	for _, ref := range refs {
+		e := s.Entries[ref.Name]
+		if e == nil || e.Ended || e.Host.BornMs != ref.BornMs {
+			continue
+		}
+		done++
+		was := e.Listed()
+		switch kind {
+		case Drain:
+			e.Host.Health = endpoints.Draining
+		case Leave, Lapse:
+			s.end(e)
+		case Hold:
+			if e.Held = true; s.HeldSince == 0 {
+				s.HeldSince = max(s.Clock, 1)
+			}
+		case Seen:
+			e.Held = false
+		case Admit:
+			if e.Damped > 0 && s.Clock >= e.Damped {
+				e.Damped = 0
+			}
+		}
+		if e.Listed() != was {
+			s.touch(e)
+		}
+	}
+	s.settle()
+	if done == 0 && len(refs) == 1 {
+		e := s.Entries[refs[0].Name]
+		if e != nil && e.Host.BornMs > refs[0].BornMs {
+			return s.result(Superseded, fmt.Sprintf("%s was born later, at %.0f", refs[0].Name, e.Host.BornMs))
+		}
+		return s.result(Unknown, fmt.Sprintf("no server %s that was born at %.0f", refs[0].Name, refs[0].BornMs))
+	}
+	return s.result(Done, "")
+}
+
+// settle ends the guard's hold when nothing is held any more.
+func (s *State) settle() {
+	if s.HeldSince == 0 {
+		return
+	}
+	for _, e := range s.Entries {
+		if e.Held {
+			return
+		}
+	}
+	s.HeldSince = 0
+}
+
+// confirm ends what is held.
+func (s *State) confirm() Result {
+	for _, name := range s.Names() {
+		if e := s.Entries[name]; e.Held {
+			was := e.Listed()
+			s.end(e)
+			if e.Listed() != was {
+				s.touch(e)
+			}
+		}
+	}
+	s.HeldSince = 0
+	return s.result(Done, "")
+}
+
+// set takes an operator's word for a server's share or health.
+func (s *State) set(c *Command) Result {
+	e := s.Entries[c.Name]
+	switch {
+	case e == nil || e.Ended:
+		return s.result(Unknown, fmt.Sprintf("no server %s", c.Name))
+	case c.Share != nil && !endpoints.IsShare(*c.Share):
+		return s.result(Invalid, "share: must be 0 or above and at most 1e6")
+	case c.Health != nil && *c.Health != "" && *c.Health != endpoints.Ready && *c.Health != endpoints.Draining:
+		return s.result(Invalid, fmt.Sprintf("health: must be ready, draining or empty, is %q", *c.Health))
+	case c.If != 0 && c.If != e.Version:
+		return s.result(Conflict, fmt.Sprintf("%s has version %d", c.Name, e.Version))
+	}
+	if c.Share != nil {
+		share := *c.Share
+		e.Share = &share
+	}
+	if c.Health != nil {
+		e.Health = *c.Health
+	}
+	s.touch(e)
+	return s.result(Done, "")
+}
+
+// forget drops the ends of names that were long ago, with their part of the history.
+func (s *State) forget() {
+	dropped := false
+	for name, e := range s.Entries {
+		if e.Ended && s.Clock-e.EndedAt > keepGone {
+			delete(s.Entries, name)
+			dropped = true
+		}
+	}
+	if !dropped {
+		return
+	}
+	// A watch from before a dropped end can't be told of it, so it gets the whole list:
+	// the history begins behind the last change of what was dropped.
+	for i := len(s.History) - 1; i >= 0; i-- {
+		if s.Entries[s.History[i].Name] == nil {
+			s.History = slices.Clone(s.History[i+1:])
+			return
+		}
+	}
+}
+
+// Names returns all names in order, those that ended of late included.
+func (s *State) Names() []string {
+	names := make([]string, 0, len(s.Entries))
+	for name := range s.Entries {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// List is what readers get: the whole list, or what changed after a version. One that is
+// older than the history, or from a future that this state never had, gets the whole list.
+func (s *State) List(since int64, whole bool) endpoints.List {
+	l := endpoints.List{Seq: s.Seq, Hosts: []endpoints.Host{}}
+	l.Whole = whole || since > s.Seq || since < s.oldest()
+	if l.Whole {
+		for _, name := range s.Names() {
+			if h := s.Entries[name].Listed(); h.Health != endpoints.Gone {
+				l.Hosts = append(l.Hosts, h)
+			}
+		}
+		return l
+	}
+	seen := map[string]bool{}
+	from := sort.Search(len(s.History), func(i int) bool { return s.History[i].Seq > since })
+	for _, c := range s.History[from:] {
+		if !seen[c.Name] {
+			seen[c.Name] = true
+			l.Hosts = append(l.Hosts, s.Entries[c.Name].Listed())
+		}
+	}
+	return l
+}
+
+// oldest is the version from which on changes can be told one by one.
+func (s *State) oldest() int64 {
+	if len(s.History) == 0 {
+		return s.Seq
+	}
+	return s.History[0].Seq - 1
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,345 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"molepaddle/internal/endpoints"
+)
+
+func host(name string, born float64) *endpoints.Host {
+	return &endpoints.Host{Host: name, Dial: "127.0.0.1:80", Site: "a", Class: "k", Health: endpoints.Ready, Share: 1, BornMs: born}
+}
+
+func do(s *State, at time.Duration, c Command) Result {
+	c.Form, c.At = Form, at
+	return s.Apply(&c)
+}
+
+func refs(name string, born float64) []Ref { return []Ref{{name, born}} }
+
+func listed(s *State) string {
+	var out []string
+	for _, h := range s.List(0, true).Hosts {
+		out = append(out, fmt.Sprintf("%s %s %g %g", h.Host, h.Health, h.Share, h.BornMs))
+	}
+	return strings.Join(out, ", ")
+}
+
+// A story of one name: who has it, what its readers see, what its versions are.
+func TestOneName(t *testing.T) {
+	s := New()
+	step := func(c Command, code Code, seq int64, list string) {
+		t.Helper()
+		if r := do(s, s.Clock+time.Second, c); r.Code != code || r.Seq != seq || listed(s) != list {
+			t.Fatalf("%s: %+v, listed %q; want %q, version %d, listed %q", c.Kind, r, listed(s), code, seq, list)
+		}
+	}
+	share, draining, none := 0.5, endpoints.Draining, ""
+	step(Command{Kind: Floor, Seq: 100}, Done, 100, "")
+	step(Command{Kind: Floor, Seq: 50}, Done, 100, "")
+	step(Command{Kind: Register, Host: host("s", 10)}, Done, 101, "s ready 1 10")
+	step(Command{Kind: Register, Host: host("s", 10)}, Done, 101, "s ready 1 10") // said again
+	step(Command{Kind: Register, Host: host("s", 9)}, Superseded, 101, "s ready 1 10")
+	step(Command{Kind: Set, Name: "s", Share: &share, If: 101}, Done, 102, "s ready 0.5 10")
+	step(Command{Kind: Set, Name: "s", Share: &share, If: 101}, Conflict, 102, "s ready 0.5 10")
+	step(Command{Kind: Set, Name: "s", Health: &draining}, Done, 103, "s draining 0.5 10")
+	step(Command{Kind: Register, Host: host("s", 20)}, Done, 104, "s draining 0.5 20") // an operator's word outlasts a restart
+	step(Command{Kind: Set, Name: "s", Health: &none}, Done, 105, "s ready 0.5 20")
+	step(Command{Kind: Lapse, Refs: refs("s", 10)}, Superseded, 105, "s ready 0.5 20") // the one before
+	step(Command{Kind: Drain, Refs: refs("s", 20)}, Done, 106, "s draining 0.5 20")
+	step(Command{Kind: Leave, Refs: refs("s", 20)}, Done, 107, "")
+	step(Command{Kind: Leave, Refs: refs("s", 20)}, Unknown, 107, "")
+	step(Command{Kind: Set, Name: "s", Share: &share}, Unknown, 107, "")
+	step(Command{Kind: Register, Host: host("s", 19)}, Superseded, 107, "") // it was heard late
+	step(Command{Kind: Register, Host: host("s", 30)}, Done, 108, "s ready 0.5 30")
+	step(Command{Kind: Register, Host: nil}, Invalid, 108, "s ready 0.5 30")
+	step(Command{Kind: "later", Host: host("s", 30)}, Unsupported, 108, "s ready 0.5 30")
+	odd := *host("s", 40)
+	odd.Health = endpoints.Gone
+	step(Command{Kind: Register, Host: &odd}, Invalid, 108, "s ready 0.5 30")
+	if r := s.Apply(&Command{Form: Form + 1, Kind: Floor, Seq: 999}); r.Code != Unsupported || s.Seq != 108 {
+		t.Errorf("a command of a later form: %+v", r)
+	}
+}
+
+// A server that comes and goes is kept off the list, longer each time, and is let in again.
+func TestDamping(t *testing.T) {
+	s := New()
+	var damped []time.Duration
+	born := 0.0
+	for range 7 {
+		born++
+		r := do(s, s.Clock+time.Second, Command{Kind: Register, Host: host("s", born)})
+		damped = append(damped, r.DampedFor)
+		do(s, s.Clock+time.Second, Command{Kind: Lapse, Refs: refs("s", born)})
+	}
+	want := []time.Duration{0, 0, 0, 0, 5 * time.Second, 10 * time.Second, 20 * time.Second}
+	if !slices.Equal(damped, want) {
+		t.Errorf("kept off for %v, want %v", damped, want)
+	}
+	do(s, s.Clock, Command{Kind: Register, Host: host("s", 100)})
+	if listed(s) != "" {
+		t.Fatalf("listed while it is damped: %s", listed(s))
+	}
+	until := s.Entries["s"].Damped
+	do(s, until-1, Command{Kind: Admit, Refs: refs("s", 100)})
+	if listed(s) != "" {
+		t.Error("let in too soon")
+	}
+	before := s.Seq
+	do(s, until, Command{Kind: Admit, Refs: refs("s", 100)})
+	if listed(s) != "s ready 1 100" || s.Seq != before+1 {
+		t.Errorf("not let in: %s, version %d after %d", listed(s), s.Seq, before)
+	}
+	do(s, s.Clock+time.Hour, Command{Kind: Lapse, Refs: refs("s", 100)})
+	if r := do(s, s.Clock+time.Second, Command{Kind: Register, Host: host("s", 101)}); r.DampedFor != 0 {
+		t.Errorf("an hour of standing does not count: %+v", r)
+	}
+}
+
+// leases plays a fleet of which some fall silent at once, and tells who is listed after a
+// while and whether the guard holds.
+func leases(silent func(i int) bool, ticks int) (left int, s *State, l *Leases) {
+	const n = 30
+	s = New()
+	c := LeaseConfig{TTL: 6 * time.Second, Share: 0.4, Window: 10 * time.Second}
+	for i := range n {
+		do(s, 0, Command{Kind: Register, Host: host(fmt.Sprintf("s-%02d", i), 1)})
+	}
+	l = Lead(c, s, 0)
+	for tick := range ticks {
+		now := time.Duration(tick) * 500 * time.Millisecond
+		for i := range n {
+			// Each renews every 2 s, at its own time; the silent ones until 10 s.
+			if (tick+i)%4 == 0 && (!silent(i) || now < 10*time.Second) {
+				l.Renew(s, Ref{fmt.Sprintf("s-%02d", i), 1}, now)
+			}
+		}
+		obey(s, now, l.Decide(s, now))
+	}
+	return len(s.List(0, true).Hosts), s, l
+}
+
+func obey(s *State, now time.Duration, d Decision) {
+	do(s, now, Command{Kind: Lapse, Refs: d.Lapse})
+	do(s, now, Command{Kind: Hold, Refs: d.Hold})
+	do(s, now, Command{Kind: Seen, Refs: d.Seen})
+	do(s, now, Command{Kind: Admit, Refs: d.Admit})
+}
+
+// One zone of three is let go; a loss of most of the fleet is not believed until an
+// operator confirms it, and is over when the servers are heard again.
+func TestMassFailure(t *testing.T) {
+	if left, s, _ := leases(func(i int) bool { return i%3 == 0 }, 60); left != 20 || s.HeldSince != 0 {
+		t.Errorf("a zone of three lost: %d of 30 listed, held since %v", left, s.HeldSince)
+	}
+	left, s, l := leases(func(i int) bool { return i%10 != 0 }, 60)
+	if left != 30 || s.HeldSince == 0 {
+		t.Fatalf("nine in ten silent: %d of 30 listed, held since %v", left, s.HeldSince)
+	}
+	again, _ := s.Encode()
+	confirmed, err := Decode(again)
+	if err != nil {
+		t.Fatal(err)
+	}
+	do(confirmed, s.Clock, Command{Kind: Confirm})
+	if n := len(confirmed.List(0, true).Hosts); n != 3 || confirmed.HeldSince != 0 {
+		t.Errorf("confirmed: %d listed", n)
+	}
+	now := 31 * time.Second
+	for i := range 30 {
+		if code := l.Renew(s, Ref{fmt.Sprintf("s-%02d", i), 1}, now); code != Done {
+			t.Errorf("a held server that is heard again: %s", code)
+		}
+	}
+	seq := s.Seq
+	obey(s, now, l.Decide(s, now))
+	if s.HeldSince != 0 || s.Seq != seq || len(s.List(0, true).Hosts) != 30 {
+		t.Errorf("heard again: held since %v, version %d after %d", s.HeldSince, s.Seq, seq)
+	}
+}
+
+// A new leader gives every lease its full time, however old the last renewal is.
+func TestNewLeaderGivesTime(t *testing.T) {
+	_, s, _ := leases(func(int) bool { return false }, 8)
+	now := 100 * time.Second
+	l := Lead(LeaseConfig{TTL: 6 * time.Second, Share: 1, Window: time.Second}, s, now)
+	if d := l.Decide(s, now+6*time.Second-1); !d.Empty() {
+		t.Errorf("before the full time: %+v", d)
+	}
+	if d := l.Decide(s, now+6*time.Second); len(d.Lapse) != 30 {
+		t.Errorf("after it: %+v", d)
+	}
+}
+
+// draw makes one command of any kind, sound or not.
+func draw(t *rapid.T, at time.Duration) Command {
+	c := Command{Form: Form, At: at, Kind: rapid.SampledFrom([]Kind{Register, Register, Register, Floor, Drain, Leave, Lapse,
+		Hold, Seen, Confirm, Admit, Set, "nonsense"}).Draw(t, "kind")}
+	name := func() string { return fmt.Sprint("s-", rapid.IntRange(0, 5).Draw(t, "name")) }
+	born := func() float64 { return float64(rapid.IntRange(0, 4).Draw(t, "born")) }
+	switch c.Kind {
+	case Register:
+		c.Host = host(name(), born())
+		c.Host.Health = rapid.SampledFrom([]string{endpoints.Ready, endpoints.Ready, endpoints.Draining, endpoints.Gone, "odd"}).Draw(t, "health")
+	case Floor:
+		c.Seq = int64(rapid.IntRange(0, 200).Draw(t, "floor"))
+	case Set:
+		c.Name = name()
+		share := rapid.Float64Range(-1, 3).Draw(t, "share")
+		health := rapid.SampledFrom([]string{"", endpoints.Draining, "odd"}).Draw(t, "word")
+		c.Share, c.Health, c.If = &share, &health, int64(rapid.IntRange(0, 3).Draw(t, "if"))
+	default:
+		for range rapid.IntRange(0, 3).Draw(t, "refs") {
+			c.Refs = append(c.Refs, Ref{name(), born()})
+		}
+	}
+	return c
+}
+
+// Whatever the log holds: replaying it gives the same state, a snapshot and the rest of
+// the log as well; versions never go back and each change of the list has one of its own;
+// and a reader that follows the changes from any version on has the whole list.
+func TestLogs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, replayed := New(), New()
+		reader, readerSeq := map[string]endpoints.Host{}, int64(0)
+		cut := rapid.IntRange(0, 40).Draw(t, "snapshot at")
+		var restored *State
+		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
+			if i == cut {
+				text, err := whole.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if restored, err = Decode(text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			// Time may stand still or, with a new leader, seem to go back.
+			c := draw(t, time.Duration(rapid.IntRange(0, 100_000).Draw(t, "ms"))*time.Millisecond)
+			text, _ := json.Marshal(c)
+			var read Command
+			if err := json.Unmarshal(text, &read); err != nil {
+				t.Fatal(err)
+			}
+			seq, clock, before := whole.Seq, whole.Clock, listed(whole)
+			r := whole.Apply(&c)
+			if again := replayed.Apply(&read); again != r {
+				t.Fatalf("%s: %+v, and replayed %+v", c.Kind, r, again)
+			}
+			if restored != nil {
+				if tail := restored.Apply(&read); tail != r {
+					t.Fatalf("%s: %+v, and behind a snapshot %+v", c.Kind, r, tail)
+				}
+			}
+			switch {
+			case whole.Seq < seq || whole.Clock < clock:
+				t.Fatalf("version %d after %d, clock %v after %v", whole.Seq, seq, whole.Clock, clock)
+			case listed(whole) != before && whole.Seq == seq:
+				t.Fatalf("the list changed under version %d", seq)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "reads") == 0 {
+				l := whole.List(readerSeq, false)
+				if l.Whole {
+					clear(reader)
+				}
+				for _, h := range l.Hosts {
+					if reader[h.Host] = h; h.Health == endpoints.Gone {
+						delete(reader, h.Host)
+					}
+				}
+				readerSeq = l.Seq
+				want := map[string]endpoints.Host{}
+				for _, h := range whole.List(0, true).Hosts {
+					want[h.Host] = h
+				}
+				if !reflect.DeepEqual(reader, want) {
+					t.Fatalf("a reader has %v, the list is %v", reader, want)
+				}
+			}
+		}
+		a, _ := whole.Encode()
+		b, _ := replayed.Encode()
+		if !bytes.Equal(a, b) {
+			t.Fatalf("replayed:\n%s\n%s", a, b)
+		}
+		if restored != nil {
+			if c, _ := restored.Encode(); !bytes.Equal(a, c) {
+				t.Fatalf("snapshot and tail:\n%s\n%s", a, c)
+			}
+		}
+	})
+}
+
+// The history is bounded and says by a whole list that it is, and so is the table of names.
+func TestBounds(t *testing.T) {
+	s := New()
+	share := 1.0
+	do(s, 0, Command{Kind: Register, Host: host("s", 1)})
+	for range 2 * MaxHistory {
+		do(s, 0, Command{Kind: Set, Name: "s", Share: &share})
+	}
+	if len(s.History) != MaxHistory {
+		t.Errorf("%d changes kept", len(s.History))
+	}
+	oldest := s.oldest()
+	if s.List(oldest, false).Whole || !s.List(oldest-1, false).Whole || !s.List(s.Seq+1, false).Whole {
+		t.Error("the wrong versions get a whole list")
+	}
+	s = New()
+	for i := range MaxEntries {
+		do(s, 0, Command{Kind: Register, Host: host(fmt.Sprint("s-", i), 1)})
+	}
+	if r := do(s, 0, Command{Kind: Register, Host: host("more", 1)}); r.Code != TooMany {
+		t.Errorf("one more: %+v", r)
+	}
+	before := s.Seq
+	do(s, 0, Command{Kind: Leave, Refs: refs("s-7", 1)})
+	r := do(s, keepGone+1, Command{Kind: Register, Host: host("more", 1)})
+	if r.Code != Done || len(s.Entries) != MaxEntries || !s.List(before, false).Whole {
+		t.Errorf("room after an end: %+v, %d entries", r, len(s.Entries))
+	}
+}
+
+// Whatever bytes come, a snapshot or a command is refused or is sound.
+func FuzzDecode(f *testing.F) {
+	_, s, _ := leases(func(i int) bool { return i < 3 }, 40)
+	text, _ := s.Encode()
+	f.Add(text)
+	f.Add([]byte(`{"form":1,"kind":"register","host":{"host":"s","dial":"127.0.0.1:1","health":"ready"}}`))
+	f.Add([]byte(`{"form":1,"entries":{"a":null}}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := Decode(text)
+		if err != nil {
+			s = New()
+		}
+		var c Command
+		if json.Unmarshal(text, &c) == nil {
+			s.Apply(&c)
+		}
+		do(s, s.Clock, Command{Kind: Register, Host: host("new", 1)})
+		l := s.List(s.Seq-1, false)
+		for i := range l.Hosts {
+			if err := l.Hosts[i].Validate(); err != nil {
+				t.Fatalf("lists an entry that makes no sense: %v", err)
+			}
+		}
+		again, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("can't read its own snapshot: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"molepaddle/internal/catalog"
+	"molepaddle/internal/endpoints"
+)
+
+// Client speaks to stewards: to the first of its addresses that answers.
+type Client struct {
+	Addrs []string
+	HTTP  *http.Client
+}
+
+// NewClient makes a client whose calls may take as long as given.
+func NewClient(addrs []string, within time.Duration) *Client {
+	return &Client{Addrs: addrs, HTTP: &http.Client{Timeout: within}}
+}
+
+// do asks one address after the other. After an answer, even a refusal, the next is asked
+// only where the call surely had no effect.
+func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
+	err := errors.New("no address of a steward")
+	for _, addr := range c.Addrs {
+		err = call(ctx, c.HTTP, method, "http://"+addr+path, body, into)
+		var refused *HTTPError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &refused) && !refused.NotApplied:
+			return err
+		case !errors.As(err, &refused) && method != http.MethodGet && !neverSent(err):
+			return fmt.Errorf("%s: %w", addr, err)
+		}
+	}
+	return err
+}
+
+// Register puts an entry into the list.
+func (c *Client) Register(ctx context.Context, h endpoints.Host) (r catalog.Result, err error) {
+	return r, c.do(ctx, http.MethodPut, "/v1/servers/"+h.Host, h, &r)
+}
+
+// Renew says that the processes are there.
+func (c *Client) Renew(ctx context.Context, refs []catalog.Ref) (r Renewals, err error) {
+	return r, c.do(ctx, http.MethodPost, "/v1/renewals", Renewals{Refs: refs}, &r)
+}
+
+// End drains a process, or takes it off the list.
+func (c *Client) End(ctx context.Context, ref catalog.Ref, leave bool) error {
+	method, path := http.MethodPost, fmt.Sprintf("/v1/servers/%s/drain?born_ms=%.0f", ref.Name, ref.BornMs)
+	if leave {
+		method, path = http.MethodDelete, fmt.Sprintf("/v1/servers/%s?born_ms=%.0f", ref.Name, ref.BornMs)
+	}
+	return c.do(ctx, method, path, nil, nil)
+}
+
+// Set gives an operator's word for a server.
+func (c *Client) Set(ctx context.Context, name string, w Word) (r catalog.Result, err error) {
+	return r, c.do(ctx, http.MethodPatch, "/v1/servers/"+name, w, &r)
+}
+
+// Server reads an entry; consistent is as of now, by way of the leader.
+func (c *Client) Server(ctx context.Context, name string, consistent bool) (e catalog.Entry, err error) {
+	return e, c.do(ctx, http.MethodGet, "/v1/servers/"+name+query(consistent), nil, &e)
+}
+
+// Servers reads all entries, those that ended of late included.
+func (c *Client) Servers(ctx context.Context, consistent bool) (all []catalog.Entry, err error) {
+	return all, c.do(ctx, http.MethodGet, "/v1/servers"+query(consistent), nil, &all)
+}
+
+func query(consistent bool) string {
+	if consistent {
+		return "?consistent=1"
+	}
+	return ""
+}
+
+// List reads the whole list.
+func (c *Client) List(ctx context.Context) (l endpoints.List, err error) {
+	return l, c.do(ctx, http.MethodGet, endpoints.Path, nil, &l)
+}
+
+// Status tells how the steward stands that answers first.
+func (c *Client) Status(ctx context.Context) (st Status, err error) {
+	return st, c.do(ctx, http.MethodGet, "/v1/status", nil, &st)
+}
+
+// Snapshot reads the state as of now.
+func (c *Client) Snapshot(ctx context.Context) (text []byte, err error) {
+	return text, c.do(ctx, http.MethodGet, "/v1/snapshot?consistent=1", nil, &text)
+}
+
+// Restore puts a snapshot in place of the state.
+func (c *Client) Restore(ctx context.Context, text []byte) (st Status, err error) {
+	return st, c.do(ctx, http.MethodPut, "/v1/snapshot", rawJSON(text), &st)
+}
+
+// rawJSON is a body that is JSON already.
+type rawJSON []byte
+
+// MarshalJSON returns the text as it is.
+func (r rawJSON) MarshalJSON() ([]byte, error) { return r, nil }
+
+// Peer takes a steward in, or off the voters.
+func (c *Client) Peer(ctx context.Context, name string, add bool) (st Status, err error) {
+	method := http.MethodDelete
+	if add {
+		method = http.MethodPut
+	}
+	return st, c.do(ctx, method, "/v1/peers/"+name, nil, &st)
+}
+
+// Confirm says that the servers that are held are gone.
+func (c *Client) Confirm(ctx context.Context) error {
+	return c.do(ctx, http.MethodPost, "/v1/guard/confirm", nil, nil)
+}
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// metrics is what a steward counts.
+type metrics struct {
+	registry  *prometheus.Registry
+	elections prometheus.Counter
+	commit    prometheus.Histogram
+	decided   *prometheus.CounterVec
+	calls     *prometheus.CounterVec
+}
+
+func newMetrics(n *Node) *metrics {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	f := promauto.With(r)
+	gauge := func(name, help string, of func(st *Status) float64) {
+		f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_" + name, Help: help}, func() float64 {
+			st := n.status()
+			return of(&st)
+		})
+	}
+	gauge("version", "The version of the list that is served.", func(st *Status) float64 { return float64(st.Seq) })
+	gauge("listed", "Servers that are listed.", func(st *Status) float64 { return float64(st.Listed) })
+	gauge("held", "Servers that are listed though their leases ended: a mass failure that nobody has confirmed.", func(st *Status) float64 { return float64(st.Held) })
+	gauge("damped", "Servers that are kept off the list for coming and going.", func(st *Status) float64 { return float64(st.Damped) })
+	gauge("watches", "Watches that are open.", func(st *Status) float64 { return float64(st.Watches) })
+	gauge("leads", "1 while this steward leads.", func(st *Status) float64 { return truth(st.State == "leader") })
+	gauge("stale", "1 while it has been without the quorum for longer than its bound.", func(st *Status) float64 { return truth(st.Stale) })
+	gauge("silence_seconds", "Since the leader was heard last.", func(st *Status) float64 { return float64(st.SilentMs) / 1000 })
+	fanOut := func(name, help string, of func(h *hub) int64) {
+		f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_" + name, Help: help}, func() float64 {
+			n.hub.mu.Lock()
+			defer n.hub.mu.Unlock()
+			return float64(of(n.hub))
+		})
+	}
+	fanOut("lines_encoded_total", "Lists and changes that were encoded.", func(h *hub) int64 { return h.encoded })
+	fanOut("lines_sent_total", "Changes that were written to watches.", func(h *hub) int64 { return h.sent })
+	fanOut("watches_lagged_total", "Times that a watch was too far behind and got the whole list.", func(h *hub) int64 { return h.lagged })
+	f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_calls_refused_total", Help: "Calls sent away because there were too many."},
+		func() float64 { return float64(n.calls.refused.Load()) })
+	return &metrics{registry: r,
+		elections: f.NewCounter(prometheus.CounterOpts{Name: "steward_terms_led_total", Help: "Times that this steward began to lead."}),
+		commit: f.NewHistogram(prometheus.HistogramOpts{Name: "steward_commit_seconds", Help: "From a proposal to its result.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)}),
+		decided: f.NewCounterVec(prometheus.CounterOpts{Name: "steward_decided_total", Help: "Servers that the leader decided on, by command."}, []string{"command"}),
+		calls:   f.NewCounterVec(prometheus.CounterOpts{Name: "steward_calls_total", Help: "Calls by kind and status."}, []string{"kind", "status"})}
+}
+
+func truth(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/lab/discovery/discovery_test.go
+++ b/internal/lab/discovery/discovery_test.go
@@ -39,8 +39,13 @@
 	checker := check.New(clock, set, []string{"n0", "n1"}, []check.Server{{Name: "s-00"}, {Name: "s-01"}, {Name: "s-02"}})
 	entries := []Entry{{Server: 0, Name: "s-00", Zone: "a", Kind: "k", Cell: 1, Share: 1.5, Health: "ready"},
 		{Server: 1, Name: "s-01", Zone: "b", Kind: "k", Health: "ready"}, {Server: 2, Name: "s-02", Zone: "a", Kind: "k"}}
+	addrs, err := loopback.Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(addrs.Close)
 	s, err := New(c, Env{Clock: clock, Checker: checker, Agents: []string{"n0", "n1"}, Event: func(string) {},
-		Dial: func(agent, server int) string { return fmt.Sprintf("127.0.%d.%d:80", agent, server) }}, &loopback.Net{}, entries, 1)
+		Dial: func(agent, server int) string { return fmt.Sprintf("127.0.%d.%d:80", agent, server) }}, addrs, entries, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -98,6 +98,7 @@
 	progress func(Progress)
 	epoch    time.Time
 	zero     time.Duration // by the clock, when the load begins
+	addrs    *loopback.Net
 	lanes    []*lane
 	samples  [][]sample // by lane
 	applied  [][]Applied
@@ -120,6 +121,9 @@
 		go func() { defer all.Done(); l.close() }()
 	}
 	all.Wait()
+	if r.addrs != nil {
+		r.addrs.Close()
+	}
 	if r.status != nil {
 		r.status.Close()
 	}
@@ -152,9 +156,12 @@
 
 func (r *run) build() error {
 	raiseLimit()
-	addrs := loopback.NewNet(os.Getpid())
+	var err error
+	if r.addrs, err = loopback.Claim(); err != nil {
+		return err
+	}
 	for _, policyName := range append([]string{""}, r.c.Baselines...) {
-		l, err := newLane(r.c, policyName, r.out, r.seed, addrs, r.clock, r.epoch)
+		l, err := newLane(r.c, policyName, r.out, r.seed, r.addrs, r.clock, r.epoch)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -22,27 +23,52 @@
 	fillWait = 40 * time.Millisecond
 )
 
-// Net hands out addresses. The zero value starts at the first one.
+// Net hands out addresses that no other Net on the machine hands out while this one is
+// open: a party that ends and begins again finds its port as it left it.
 type Net struct {
-	mu   sync.Mutex
-	next int
+	mu    sync.Mutex
+	next  int
+	claim net.Listener
 }
 
-// nets is how many labs on one machine have addresses that don't overlap.
-const nets, perNet = 300, 50_000
+const (
+	// nets is how many there can be at once on one machine, and perNet how many addresses
+	// each has; the last one of each is where it is claimed.
+	nets, perNet = 300, 50_000
+	claimPort    = ":20004"
+)
 
-// NewNet makes the addresses of the lab with a number, such as its process id.
-func NewNet(number int) *Net { return &Net{next: number % nets * perNet} }
+// Claim makes a Net of addresses that are nobody's.
+func Claim() (*Net, error) {
+	for try := range nets {
+		first := (os.Getpid() + try) % nets * perNet
+		claim, err := net.Listen("tcp", address(first+perNet-1)+claimPort)
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("claim addresses: %w", err)
+		}
+		return &Net{next: first, claim: claim}, nil
+	}
+	return nil, fmt.Errorf("claim addresses: %d labs run on this machine", nets)
+}
 
-// IP returns an address that this Net has not given yet. There are about sixteen
-// million; an experiment uses thousands.
+// Close gives the addresses back.
+func (n *Net) Close() { n.claim.Close() }
+
+func address(i int) string {
+	// 127.0.x.y is left to the programs that listen on localhost.
+	return fmt.Sprintf("127.%d.%d.%d", 1+i/(250*250), i/250%250, 1+i%250)
+}
+
+// IP returns an address that this Net has not given yet. An experiment uses a few thousand
+// of what there are.
 func (n *Net) IP() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.next++
-	i := n.next
-	// 127.0.x.y is left to the programs that listen on localhost.
-	return fmt.Sprintf("127.%d.%d.%d", 1+i/(250*250), i/250%250, 1+i%250)
+	return address(n.next - 1)
 }
 
 // FreePort returns an address with a port that nothing listens on at the moment, on an
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -21,7 +21,12 @@
 func TestListener(t *testing.T) {
 	var open Set
 	accepted := make(chan net.Conn, 100)
-	l, err := Listen(NewNet(1).IP()+":0", func(c net.Conn) { open.Add(c); accepted <- c })
+	n, err := Claim()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	l, err := Listen(n.IP()+":0", func(c net.Conn) { open.Add(c); accepted <- c })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,9 +137,13 @@
 // No two labs on one machine share an address, and a lab gives each only once.
 func TestAddresses(t *testing.T) {
 	seen := map[string]bool{}
-	for _, number := range []int{1, 2, 299} {
-		n := NewNet(number)
-		for range perNet {
+	for range 3 {
+		n, err := Claim()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.Close()
+		for range perNet - 1 {
 			ip := n.IP()
 			if seen[ip] {
 				t.Fatalf("%s twice", ip)
