Let the lab's fleets be listed by stewards, and measure how changes spread

The list service had been shown by its own tests only, not under agents.

An experiment with [stewards] runs real stewards; emulated servers register, renew, drain and come back there, agents read their steward's list, and the lab's own watches tell the checker what agents were told and how long a change takes. Stewards are targets of kill, stop and restart.

--- /dev/null
+++ b/cmd/steward/bench_test.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/control"
+	"molepaddle/internal/endpoints"
+)
+
+// report gives the figures of some durations.
+func report(b *testing.B, what string, all []time.Duration) {
+	slices.Sort(all)
+	b.ReportMetric(float64(all[len(all)/2].Milliseconds()), what+"-p50-ms")
+	b.ReportMetric(float64(all[min(len(all)*99/100, len(all)-1)].Milliseconds()), what+"-p99-ms")
+	b.ReportMetric(float64(all[len(all)-1].Milliseconds()), what+"-max-ms")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkLeaderDeath kills the leader and measures the time to the first write that is
+// acknowledged after it, at the settings that stewards have by default.
+func BenchmarkLeaderDeath(b *testing.B) {
+	f := newFleet(b, 3)
+	for _, name := range f.names {
+		f.kill(name)
+	}
+	f.extra = ""
+	for _, name := range f.names {
+		f.configure(name, f.names)
+		f.start(name)
+	}
+	var gaps []time.Duration
+	for i := range b.N {
+		old := f.leader()
+		rest := control.NewClient(f.client(f.others(old)...).Addrs, 300*time.Millisecond)
+		f.kill(old)
+		began := time.Now()
+		for {
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			_, err := rest.Register(ctx, entry("s", float64(i+1)))
+			cancel()
+			if err == nil {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		gaps = append(gaps, time.Since(began))
+		f.start(old)
+		f.until("all three are well", func() bool {
+			st, err := f.status(old)
+			lead, lerr := f.status(f.leader())
+			return err == nil && lerr == nil && st.Seq == lead.Seq
+		})
+	}
+	report(b, "gap", gaps)
+}
+
+// usage is the processor time and the memory that a steward tells of itself.
+func (f *fleet) usage(name string) (cpu time.Duration, rssMB float64) {
+	use, _, _ := f.all[name].proc.Look()
+	return use.CPU, use.RSSMB
+}
+
+// BenchmarkWatches opens many watches in one second's time at three stewards and measures
+// the time to the last first line; then it makes twenty changes a second for five seconds
+// and measures what a steward uses.
+func BenchmarkWatches(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 2000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			f := newFleet(b, 3)
+			for i := range 200 {
+				f.register(fmt.Sprint("s-", i), 1)
+			}
+			for range b.N {
+				ctx, cancel := context.WithCancel(context.Background())
+				var mu sync.Mutex
+				var firsts []time.Duration
+				var got, calls int
+				began := time.Now()
+				var all sync.WaitGroup
+				for i := range n {
+					all.Add(1)
+					go func() {
+						defer all.Done()
+						first := true
+						for try := 0; ctx.Err() == nil; try++ {
+							mu.Lock()
+							calls++
+							mu.Unlock()
+							watch(ctx, f.all[f.names[(i+try)%3]].http, 0, func(l *endpoints.List) {
+								mu.Lock()
+								defer mu.Unlock()
+								if got++; first {
+									first, firsts = false, append(firsts, time.Since(began))
+								}
+							})
+							time.Sleep(time.Duration(50+(i*37)%200) * time.Millisecond)
+						}
+					}()
+				}
+				f.until("all are served", func() bool { mu.Lock(); defer mu.Unlock(); return len(firsts) == n })
+				mu.Lock()
+				report(b, "first", slices.Clone(firsts))
+				b.ReportMetric(float64(calls)/float64(n), "calls/watch")
+				before := got
+				mu.Unlock()
+				lead := f.leader()
+				from, _ := f.usage(lead)
+				const changes, every = 100, 50 * time.Millisecond
+				for i := range changes {
+					next := time.Now().Add(every)
+					f.register(fmt.Sprint("s-", i%200), float64(i+2), lead)
+					time.Sleep(time.Until(next))
+				}
+				f.until("all were told of the last", func() bool { mu.Lock(); defer mu.Unlock(); return got >= before+n*changes*9/10 })
+				to, rss := f.usage(lead)
+				b.ReportMetric(float64(to-from)/float64(changes*every), "cores-of-the-leader")
+				b.ReportMetric(rss, "MB-of-the-leader")
+				cancel()
+				all.Wait()
+			}
+		})
+	}
+}
+
+// BenchmarkRestart restarts a steward that holds ten thousand entries, and measures the
+// time until it serves all of them.
+func BenchmarkRestart(b *testing.B) {
+	f := newFleet(b, 1)
+	name := f.names[0]
+	var writers sync.WaitGroup
+	for part := range 16 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for i := part; i < 10_000; i += 16 {
+				f.register(fmt.Sprint("s-", i), 1)
+			}
+		}()
+	}
+	writers.Wait()
+	var took []time.Duration
+	for range b.N {
+		f.kill(name)
+		f.start(name)
+		began := time.Now()
+		f.until("all are served", func() bool {
+			resp, err := http.Get("http://" + f.all[name].http + endpoints.Path)
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			st, err := f.status(name)
+			return resp.StatusCode == http.StatusOK && err == nil && st.Listed == 10_000
+		})
+		took = append(took, time.Since(began))
+	}
+	report(b, "ready", took)
+	if text, err := os.ReadFile(f.all[name].proc.Log); err == nil && strings.Contains(string(text), "ERROR") {
+		b.Errorf("it complains: %s", text[max(0, len(text)-500):])
+	}
+}
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -35,7 +35,7 @@
 
 // fleet is some stewards as processes, with a link from each to each that replicates.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	dir   string
 	addrs *loopback.Net
 	sup   *process.Supervisor
@@ -51,7 +51,7 @@
 	client           *control.Client
 }
 
-func newFleet(t *testing.T, n int) *fleet {
+func newFleet(t testing.TB, n int) *fleet {
 	t.Helper()
 	addrs, err := loopback.Claim()
 	if err != nil {
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -32,6 +32,7 @@
 	Baselines []string         `koanf:"baselines"`
 	Listen    string           `koanf:"listen"` // where the run's state can be asked for; "": nowhere
 	Agents    Agents           `koanf:"agents"`
+	Stewards  Stewards         `koanf:"stewards"`
 	Servers   Servers          `koanf:"servers"`
 	Version   []server.Version `koanf:"version"`
 	Discovery discovery.Config `koanf:"discovery"`
@@ -127,8 +128,9 @@
 // Defaults are those of a deployment like the operators' own.
 func defaults() Config {
 	return Config{Seed: 1, Warmup: 2 * time.Second, Lateness: 10 * time.Millisecond,
-		Zones:  []string{"kurume-main", "yame-annex"},
-		Agents: Agents{Count: 5, Command: "bin/molepaddle", Cores: 1, MemoryMB: 192, Sockets: 1024, Known: "now"},
+		Zones:    []string{"kurume-main", "yame-annex"},
+		Agents:   Agents{Count: 5, Command: "bin/molepaddle", Cores: 1, MemoryMB: 192, Sockets: 1024, Known: "now"},
+		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second},
 		Servers: Servers{Count: 12, Cell: 4, Kind: []Kind{
 			{Name: "fast-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(1.8), Conns: defaultConns(), Reports: defaultReports()},
 			{Name: "slow-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(0.9), Conns: defaultConns(), Reports: defaultReports()}}},
@@ -244,6 +246,7 @@
 var faultKinds = map[string][]string{
 	"servers":   {"kill", "vanish", "drain", "slow", "neighbour", "errors", "resets", "lost", "spoilt", "replace"},
 	"agents":    {"kill", "stop", "restart", "hup"},
+	"stewards":  {"kill", "stop", "restart"},
 	"discovery": {"down"},
 	"load":      {"burst", "heavy"},
 	"link":      {"cut", "refuse", "delay", "slow", "reset"},
@@ -266,6 +269,9 @@
 		{"agents.memory_mb", c.Agents.MemoryMB < 16, fmt.Sprintf("must be 16 or above, is %v", c.Agents.MemoryMB)},
 		{"agents.sockets", c.Agents.Sockets < 64, fmt.Sprintf("must be 64 or above, is %d", c.Agents.Sockets)},
 		{"agents.known", c.Agents.Known != "now" && c.Agents.Known != "empty", fmt.Sprintf("must be now or empty, is %q", c.Agents.Known)},
+		{"stewards.count", c.Stewards.Count < 0 || c.Stewards.Count > 9, fmt.Sprintf("must be 0 to 9, is %d", c.Stewards.Count)},
+		{"stewards.lease_ttl", c.Stewards.LeaseTTL < 300*time.Millisecond, fmt.Sprintf("must be 300ms or above, is %v", c.Stewards.LeaseTTL)},
+		{"stewards.watches", c.Stewards.Watches < 0 || c.Stewards.Watches > 5000, fmt.Sprintf("must be 0 to 5000, is %d", c.Stewards.Watches)},
 		{"servers.count", c.Servers.Count < 1 || c.Servers.Count > 200, fmt.Sprintf("must be 1 to 200, is %d", c.Servers.Count)},
 		{"servers.cell", c.Servers.Cell < 1, fmt.Sprintf("must be 1 or above, is %d", c.Servers.Cell)},
 		{"load.rate", !(c.Load.Rate >= 0), fmt.Sprintf("must be 0 or above, is %v", c.Load.Rate)},
@@ -415,6 +421,8 @@
 			return fmt.Errorf("%sversion: no version %q", at, f.Version)
 		case f.Class != "" && c.class(f.Class) < 0:
 			return fmt.Errorf("%sclass: no class %q", at, f.Class)
+		case c.Stewards.Count > 0 && (sort == "discovery" || f.Kind == "hup"):
+			return fmt.Errorf("%starget: with stewards the stand-in is not there", at)
 		case sort == "load" && f.After != "":
 			return fmt.Errorf("%safter: arrivals are drawn ahead, so a change of the load needs a time", at)
 		case needsSize[f.Kind] && sort != "link" && f.Size == 0 || sort == "link" && (f.Kind == "slow" || f.Kind == "reset") && f.Size == 0:
@@ -440,6 +448,8 @@
 	switch {
 	case err != nil:
 		return "", fmt.Errorf("to: %w", err)
+	case c.Stewards.Count > 0:
+		return "", errors.New("to: with stewards there are no links: their list has one address for all agents")
 	case sort != "agents" || to != "servers" && to != "discovery":
 		return "", errors.New("to: links lead from agents to servers or to discovery")
 	}
@@ -448,7 +458,7 @@
 
 // Expectations by what they bound.
 var figures = []string{"served", "refused", "failed", "late", "p50_ms", "p99_ms", "attempts", "probes", "connections",
-	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores"}
+	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores", "spread_p50_ms", "spread_p99_ms"}
 
 func (c *Config) validateExpects() error {
 	for i := range c.Expect {
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -219,6 +219,11 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(startTogether)
 	for _, l := range r.lanes {
+		if l.list != nil {
+			if err := l.list.start(ctx); err != nil {
+				return err
+			}
+		}
 		for i := range l.clients {
 			if l.policy != "" {
 				l.checker.Started(i)
--- a/internal/lab/experiment/select.go
+++ b/internal/lab/experiment/select.go
@@ -10,7 +10,7 @@
 
 // A selector names the parties of a fault:
 //
-//	servers, agents, discovery, load
+//	servers, agents, stewards, discovery, load
 //	servers@ZONE       those of a zone
 //	servers%0.3        three in ten of them, drawn from the seed
 //	servers#2          two of them, drawn from the seed
@@ -61,6 +61,9 @@
 	if err != nil {
 		return "", err
 	}
+	if s.sort == "stewards" && c.Stewards.Count == 0 {
+		return "", fmt.Errorf("%q: there are none in this experiment", text)
+	}
 	if s.zone != "" && !slices.Contains(c.Zones, s.zone) {
 		return "", fmt.Errorf("%q: no zone %q", text, s.zone)
 	}
@@ -76,6 +79,11 @@
 				sort = "agents"
 			}
 		}
+		for i := range c.Stewards.Count {
+			if stewardName(i) == name {
+				sort = "stewards"
+			}
+		}
 		switch {
 		case sort == "":
 			return "", fmt.Errorf("unknown process %q", name)
@@ -93,8 +101,11 @@
 	s, _ := parseSelector(text) // checked by validate
 	sort, _ := c.selector(text)
 	n, name := c.Servers.Count, serverName
-	if sort == "agents" {
+	switch sort {
+	case "agents":
 		n, name = c.Agents.Count, agentName
+	case "stewards":
+		n, name = c.Stewards.Count, stewardName
 	}
 	var all []int
 	for i := range n {
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -107,6 +107,10 @@
 	Doubled        int64   `json:"effects_doubled"`
 	Chokes         int     `json:"chokes"`
 	Crashes        int     `json:"crashes"`
+	SpreadP50Ms    float64 `json:"spread_p50_ms"` // of a change, from its being sent to each watch of the lab's own
+	SpreadP99Ms    float64 `json:"spread_p99_ms"`
+	SpreadLastMs   float64 `json:"spread_last_p99_ms"` // to the last of them, p99 of the changes
+	Spreads        int64   `json:"spread_samples"`
 	AgentPeakRSSMB float64 `json:"agent_peak_rss_mb"`
 	AgentPeakFDs   int     `json:"agent_peak_descriptors"`
 	AgentCPUS      float64 `json:"agent_cpu_s"`
@@ -262,6 +266,10 @@
 			return x
 		}
 		return math.NaN()
+	case "spread_p50_ms":
+		return l.Total.SpreadP50Ms
+	case "spread_p99_ms":
+		return l.Total.SpreadP99Ms
 	case "worth":
 		return row.Worth
 	case "worth_ratio":
@@ -415,6 +423,9 @@
 		t.Tries += tries
 		t.ClientConns += l.senders[i].Opened()
 	}
+	if l.list != nil {
+		l.list.figures(&t)
+	}
 	t.Repeats, t.Doubled = l.effects.Counts()
 	for _, a := range l.agents {
 		_, peak, _ := a.proc.Look()
--- a/internal/lab/experiment/timeline.go
+++ b/internal/lab/experiment/timeline.go
@@ -114,6 +114,11 @@
 			return 0, nil // a baseline has no process
 		}
 		return l.strike(ctx, f, rng)
+	case "stewards":
+		if l.list == nil {
+			return 0, nil // a baseline's list is the stand-in's
+		}
+		return l.list.strike(ctx, f, rng)
 	}
 	return l.harm(ctx, f, rng)
 }
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -42,6 +42,7 @@
 	clients []*client.Client
 	senders []client.Sender
 	agents  []*agentProcess
+	list    *stewards // nil: the stand-in
 	links   map[pair]*link.Link
 	sup     *process.Supervisor
 	events  *events
@@ -343,7 +344,11 @@
 		return
 	default:
 	}
-	l.disc.Notice(s.Index, health, s.BornMs(), silent)
+	if l.list != nil {
+		l.list.changed(s, health)
+	} else {
+		l.disc.Notice(s.Index, health, s.BornMs(), silent)
+	}
 	up := link.Open
 	switch {
 	case silent:
@@ -362,14 +367,16 @@
 
 // addAgents prepares the agents' processes.
 func (l *lane) addAgents(set policy.Settings) error {
-	command, err := filepath.Abs(l.c.Agents.Command)
+	command, err := program("agents.command", l.c.Agents.Command)
 	if err != nil {
-		return fmt.Errorf("agents.command: %w", err)
-	}
-	if st, err := os.Stat(command); err != nil || st.IsDir() || st.Mode()&0o111 == 0 {
-		return fmt.Errorf("agents.command: %s: no program there; build it first", l.c.Agents.Command)
+		return err
 	}
 	l.sup = process.New(l.exited)
+	if l.c.Stewards.Count > 0 {
+		if l.list, err = newStewards(l); err != nil {
+			return err
+		}
+	}
 	for i := range l.c.Agents.Count {
 		addr, err := l.addrs.FreePort()
 		if err != nil {
@@ -379,6 +386,9 @@
 		if k := l.links[pair{i, toDiscovery}]; k != nil {
 			a.disc = k.Addr()
 		}
+		if l.list != nil {
+			a.disc = l.list.addrs[i%len(l.list.addrs)]
+		}
 		a.proc = l.sup.Add(process.Spec{Name: agentName(i), Path: command, Args: l.c.Agents.Args,
 			Log: filepath.Join(l.dir, "logs", agentName(i)+".log"), ReadyURL: "http://" + addr + "/ready",
 			MemoryMB: l.c.Agents.MemoryMB, Env: []string{"EDGE_NAME=" + agentName(i), "EDGE_LISTEN=" + addr,
@@ -388,6 +398,18 @@
 	return nil
 }
 
+// program finds a program that a key names.
+func program(key, command string) (string, error) {
+	path, err := filepath.Abs(command)
+	if err != nil {
+		return "", fmt.Errorf("%s: %w", key, err)
+	}
+	if st, err := os.Stat(path); err != nil || st.IsDir() || st.Mode()&0o111 == 0 {
+		return "", fmt.Errorf("%s: %s: no program there; build it first", key, command)
+	}
+	return path, nil
+}
+
 // configure writes an agent's configuration, and notes what it tells.
 func (l *lane) configure(a *agentProcess, starts bool) error {
 	set := l.c.settings()
@@ -463,6 +485,13 @@
 		return
 	default:
 	}
+	if i < 0 {
+		l.events.tell("steward " + p.Name + " ended")
+		if !wanted {
+			l.checker.Report(check.RuleCrash, -1, p.Name+": "+p.Tail())
+		}
+		return
+	}
 	l.events.tell("agent " + p.Name + " ended")
 	if !wanted {
 		text := "exit 0"
@@ -583,6 +612,9 @@
 	default:
 		close(l.ending)
 	}
+	if l.list != nil {
+		l.list.close()
+	}
 	if l.sup != nil {
 		l.sup.Close()
 	}
