--- a/cmd/steward/main.go
+++ b/cmd/steward/main.go
@@ -14,12 +14,10 @@
 	"syscall"
 	"time"
 
-	"github.com/olekukonko/tablewriter"
-	"github.com/olekukonko/tablewriter/renderer"
-	"github.com/olekukonko/tablewriter/tw"
 	"github.com/spf13/cobra"
 
 	"molepaddle/internal/control"
+	"molepaddle/internal/table"
 )
 
 // callWait is how long the command line waits for a steward.
@@ -140,7 +138,7 @@
 						st.Name, st.Held, (time.Duration(st.HeldForMs)*time.Millisecond).Round(time.Second)))
 				}
 			}
-			if err := table(out, []string{"address", "name", "state", "leader", "version", "listed", "watches", "voters"}, rows); err != nil {
+			if err := table.Terminal(out, false, []string{"address", "name", "state", "leader", "version", "listed", "watches", "voters"}, rows); err != nil {
 				return err
 			}
 			for _, note := range notes {
@@ -179,7 +177,7 @@
 				}
 				rows = append(rows, []string{h.Host, h.Health, h.Dial, h.Site, h.Class, fmt.Sprintf("%g", h.Share), fmt.Sprint(e.Version), note})
 			}
-			return table(out, []string{"server", "health", "dial", "site", "class", "share", "version", ""}, rows)
+			return table.Terminal(out, false, []string{"server", "health", "dial", "site", "class", "share", "version", ""}, rows)
 		}}
 	set := &cobra.Command{Use: "set NAME", Short: "Set a server's share or health, over its own word", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -277,17 +275,3 @@
 			return nil
 		}}
 }
-
-func table(w io.Writer, head []string, rows [][]string) error {
-	t := tablewriter.NewTable(w, tablewriter.WithRenderer(renderer.NewBlueprint(tw.Rendition{Borders: tw.BorderNone,
-		Settings: tw.Settings{Separators: tw.Separators{BetweenRows: tw.Off, BetweenColumns: tw.Off}}})),
-		tablewriter.WithHeaderAutoFormat(tw.Off), tablewriter.WithHeaderAlignment(tw.AlignLeft), tablewriter.WithRowAlignment(tw.AlignLeft))
-	t.Header(head)
-	if err := t.Bulk(rows); err != nil {
-		return fmt.Errorf("table: %w", err)
-	}
-	if err := t.Render(); err != nil {
-		return fmt.Errorf("table: %w", err)
-	}
-	return nil
-}
--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,13 +12,16 @@
 )
 
 // admission bounds the calls that are worked on. What comes on top is sent away at once,
-// with a time to come back that spreads the callers over as long as they need.
+// with a time to come back that spreads the callers over as long as they need: each that
+// is sent away is given the next place at the rate that is admitted.
 type admission struct {
 	c       *Config
 	calls   *rate.Limiter
 	writes  chan struct{}
-	away    atomic.Int64 // sent away since the last that was let in
 	refused atomic.Int64
+
+	mu   sync.Mutex
+	next time.Time // the place behind all that were given
 }
 
 func newAdmission(c *Config) *admission {
@@ -31,13 +35,27 @@
 func (a *admission) call(w http.ResponseWriter, entries int) bool {
 	cost := min(1+entries/perEntries, a.calls.Burst())
 	if a.calls.AllowN(time.Now(), cost) {
-		a.away.Store(0)
 		return true
 	}
-	a.refuse(w, time.Duration(float64(a.away.Add(1))*float64(cost)/a.c.CallRate*float64(time.Second)))
+	a.refuse(w, a.place(time.Duration(float64(cost)/a.c.CallRate*float64(time.Second))))
 	return false
 }
 
+// place gives a caller the next place, and tells how far off it is.
+func (a *admission) place(takes time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	if a.next.Before(now) {
+		a.next = now
+	}
+	// Nobody is sent away for longer than that: who comes too soon is told so again.
+	if a.next = a.next.Add(takes); a.next.After(now.Add(latest)) {
+		a.next = now.Add(latest)
+	}
+	return a.next.Sub(now)
+}
+
 // write admits a write, which go on beside the reads and before them: they have places of
 // their own. The second result gives the place back.
 func (a *admission) write(w http.ResponseWriter) (bool, func()) {
@@ -59,7 +77,7 @@
 // together don't come back together.
 func (a *admission) refuse(w http.ResponseWriter, about time.Duration) {
 	a.refused.Add(1)
-	wait := soonest + time.Duration(rand.Float64()*2*float64(min(about, latest)))
+	wait := soonest + time.Duration((0.75+rand.Float64()/2)*float64(about))
 	w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	w.Header().Set("Not-Applied", "1")
 	http.Error(w, "too many calls at once", http.StatusServiceUnavailable)
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -209,3 +209,32 @@
 		t.Errorf("zones %v, error %v", one, err)
 	}
 }
+
+// Recovery counts from the fault's beginning to the first of three good seconds in a row;
+// what never fell has none, and what never came back is said to have none.
+func TestRecovery(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		served []float64
+		want   float64
+	}{
+		{"never fell", []float64{1, 1, 1, 1, 1, 1, 1}, 0},
+		{"fell a little", []float64{1, 1, 1, 0.95, 0.91, 1, 1}, 0},
+		{"fell at once", []float64{1, 1, 1, 0.2, 0.5, 1, 1, 1, 0}, 2},
+		{"fell later", []float64{1, 1, 1, 1, 0.5, 1, 1, 1}, 2},
+		{"two good seconds are not three", []float64{1, 1, 1, 0.2, 1, 1, 0.2, 1, 1, 1}, 4},
+		{"never came back", []float64{1, 1, 1, 0.2, 1, 1, 0.2}, -1},
+		{"half before it, half after it", []float64{0.5, 0.5, 0.5, 0.1, 0.5, 0.5, 0.5}, 1},
+	} {
+		var series []Point
+		for i, x := range c.served {
+			series = append(series, Point{AtS: float64(i), Asked: 10, Served: x})
+		}
+		if got := recovery(series, 3*time.Second, time.Second); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if got := recovery([]Point{{Asked: 1, Served: 1}}, 0, 0); got != -1 {
+		t.Errorf("with nothing before it: %v", got)
+	}
+}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -13,11 +13,8 @@
 	"sort"
 	"strings"
 
-	"github.com/olekukonko/tablewriter"
-	"github.com/olekukonko/tablewriter/renderer"
-	"github.com/olekukonko/tablewriter/tw"
-
 	"molepaddle/internal/lab/experiment"
+	"molepaddle/internal/table"
 )
 
 // Write writes summary.json, report.md and the plots into a folder.
@@ -85,9 +82,8 @@
 // Tables writes, for a terminal, the agents' figures by window and class, and those of
 // the baselines by window beside them.
 func Tables(w io.Writer, s *experiment.Summary) error {
-	symbols := tw.NewSymbols(tw.StyleLight)
 	fmt.Fprintln(w, "\nagents")
-	if err := table(w, symbols, false, columns, rows(&s.Lanes[0])); err != nil {
+	if err := table.Terminal(w, true, columns, rows(&s.Lanes[0])); err != nil {
 		return err
 	}
 	var beside [][]string
@@ -108,7 +104,7 @@
 	}
 	fmt.Fprintln(w, "\nbeside baselines, on servers, arrivals and faults of the same seed")
 	head := append([]string{"window", "who"}, columns[2:]...)
-	return table(w, symbols, false, head, beside)
+	return table.Terminal(w, true, head, beside)
 }
 
 func rows(l *experiment.Lane) [][]string {
@@ -124,31 +120,12 @@
 	return out
 }
 
-func table(w io.Writer, symbols tw.Symbols, markdown bool, head []string, rows [][]string) error {
-	var r tw.Renderer = renderer.NewBlueprint(tw.Rendition{Symbols: symbols,
-		Settings: tw.Settings{Separators: tw.Separators{BetweenRows: tw.Off, BetweenColumns: tw.Off}, Lines: tw.Lines{ShowHeaderLine: tw.On}},
-		Borders:  tw.BorderNone})
-	if markdown {
-		r = renderer.NewMarkdown()
-	}
-	t := tablewriter.NewTable(w, tablewriter.WithRenderer(r), tablewriter.WithHeaderAutoFormat(tw.Off),
-		tablewriter.WithRowAlignment(tw.AlignRight), tablewriter.WithHeaderAlignment(tw.AlignRight))
-	t.Header(head)
-	if err := t.Bulk(rows); err != nil {
-		return fmt.Errorf("table: %w", err)
-	}
-	if err := t.Render(); err != nil {
-		return fmt.Errorf("table: %w", err)
-	}
-	return nil
-}
-
 func markdown(w *bytes.Buffer, head []string, rows [][]string) error {
 	if len(rows) == 0 {
 		w.WriteString("none\n\n")
 		return nil
 	}
-	err := table(w, nil, true, head, rows)
+	err := table.Markdown(w, head, rows)
 	w.WriteString("\n")
 	return err
 }
@@ -283,5 +260,5 @@
 		return n
 	}
 	add("breaches", breaches(a), breaches(b))
-	return table(w, tw.NewSymbols(tw.StyleLight), false, []string{"figure", "A", "B", "B - A"}, out)
+	return table.Terminal(w, true, []string{"figure", "A", "B", "B - A"}, out)
 }
