Refuse on a full disk instead of a panic; let plots' legends stand clear

Raft panics where it can't write its term or its vote, so a steward on a full disk ended in a stack of goroutines. It now ends raft in order and says in one line what could not be written; entries it can't keep are refused.

TestDiskFull, one steward and three, with a file that may grow to 256 KiB: what was acknowledged is there when there is room again; of three the others go on.

--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -436,6 +436,87 @@
 	})
 }
 
+// Where the disk takes no more, a steward refuses what it can't keep, or ends with a line
+// that says so; what it acknowledged is there when there is room again. Of three, the two
+// others go on.
+func TestDiskFull(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, n)
+			victim := f.leader()
+			f.kill(victim)
+			roomy := f.all[victim].proc
+			tight := f.sup.Add(roomy.Spec)
+			// The log's file may grow to 256 KiB; to a program that is a disk that is full.
+			tight.Path, tight.Args = "/bin/sh", []string{"-c", "ulimit -f 512; exec \"$0\" \"$@\"", roomy.Path}
+			tight.Args = append(tight.Args, roomy.Args...)
+			f.all[victim].proc = tight
+			f.start(victim)
+			acked := map[string]float64{}
+			ended := tight.Ended()
+			big := strings.Repeat("x", 100)
+			over := func() bool {
+				select {
+				case <-ended:
+					return true
+				default:
+					return false
+				}
+			}
+			f.register("first", 1)
+			refused := 0
+			for i := 0; !over() && refused < 100 && i < 3000; i++ {
+				if refused++; refused > 1 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				name := fmt.Sprintf("%s-%d", big, i%200)
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				if _, err := f.client(f.names...).Register(ctx, entry(name, float64(i))); err == nil {
+					acked[name] = float64(i)
+					refused = 0
+				}
+				cancel()
+			}
+			text, _ := os.ReadFile(tight.Log)
+			switch {
+			case n == 1 && refused == 0 && !over():
+				t.Fatal("it never was full")
+			case !strings.Contains(string(text), "file too large"):
+				t.Errorf("it doesn't say why: %q", text[max(0, len(text)-600):])
+			}
+			if over() {
+				if !strings.Contains(string(text), "steward: data: the log can't be written: ") || strings.Contains(string(text), "goroutine ") {
+					t.Errorf("said %q", text[max(0, len(text)-600):])
+				}
+			}
+			f.kill(victim)
+			f.all[victim].proc = roomy
+			f.start(victim)
+			f.until("room again", func() bool {
+				all, err := f.client(f.names...).Servers(context.Background(), true)
+				if err != nil {
+					return false
+				}
+				have := map[string]float64{}
+				for _, e := range all {
+					have[e.Host.Host] = e.Host.BornMs
+				}
+				for name, born := range acked {
+					if have[name] < born {
+						t.Fatalf("%s was acknowledged with %v, there is %v", name, born, have[name])
+					}
+				}
+				return true
+			})
+			f.register("after", 1)
+			if len(acked) < 100 {
+				t.Errorf("only %d names were taken", len(acked))
+			}
+		})
+	}
+}
+
 // Leases end for servers that are not heard, by the leader's clock; a new leader gives
 // each its full time again; a mass failure is held until it is confirmed.
 func TestLeases(t *testing.T) {
--- a/cmd/steward/main.go
+++ b/cmd/steward/main.go
@@ -78,6 +78,7 @@
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(c.LogLevel)) // checked with the configuration
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("steward", c.Name)
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of the write
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	defer signal.Stop(again)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -152,7 +152,7 @@
 	rc.TrailingLogs = n.c.SnapshotEvery
 	rc.NoSnapshotRestoreOnStart = false
 	rc.ShutdownOnRemove = false // it serves its list until it is ended
-	r, err := raft.NewRaft(rc, n.fsm, n.store, n.store.bolt, n.store.snaps, n.trans)
+	r, err := raft.NewRaft(rc, n.fsm, n.store, &promises{n.store.bolt, n.fail}, n.store.snaps, n.trans)
 	if err != nil {
 		return fmt.Errorf("raft: %w", err)
 	}
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -154,6 +155,29 @@
 	return s.LogStore.StoreLogs(out)
 }
 
+// promises keeps what raft promised (its term, its vote). Raft panics where that can't be
+// written, as on a full disk; a steward is to end with one line that says why, and before
+// it breaks the promise.
+type promises struct {
+	raft.StableStore
+	fail func(error)
+}
+
+func (p *promises) Set(key, value []byte) error { return p.must(p.StableStore.Set(key, value)) }
+
+func (p *promises) SetUint64(key []byte, value uint64) error {
+	return p.must(p.StableStore.SetUint64(key, value))
+}
+
+// must ends raft's goroutine, in order, where a promise was not written.
+func (p *promises) must(err error) error {
+	if err != nil {
+		p.fail(fmt.Errorf("data: the log can't be written: %w", err))
+		runtime.Goexit()
+	}
+	return nil
+}
+
 // stream is raft's way to the other stewards: by name, through this one's own table.
 type stream struct {
 	net.Listener
--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -5,6 +5,7 @@
 	"image/color"
 	"math"
 	"path/filepath"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -81,6 +82,7 @@
 		p.Legend.YOffs = 2 * vg.Centimeter
 	}
 	p.Legend.Padding = vg.Points(2)
+	p.X.Tick.Marker, p.Y.Tick.Marker = ticks{}, ticks{}
 	p.Add(plotter.NewGrid())
 	top := pic.top
 	agents := &s.Lanes[0]
@@ -89,7 +91,7 @@
 		for i := range agents.Series {
 			y := l.of(&agents.Series[i])
 			if pic.top == 0 {
-				top = max(top, y*1.15)
+				top = max(top, y*(1.05+0.1*float64(len(pic.lines)))) // the legend stands above the lines
 			}
 			if y > 0 {
 				lowest = min(lowest, y)
@@ -98,7 +100,7 @@
 	}
 	low := 0.0
 	if pic.log {
-		low, top = 1, max(top, 10)
+		low, top = 1, max(top, 10)*2
 		if lowest < 1 {
 			low = lowest
 		}
@@ -133,6 +135,19 @@
 	return p.Save(26*vg.Centimeter, 11*vg.Centimeter, file)
 }
 
+// ticks are the usual ones, with no more digits than their numbers have.
+type ticks struct{}
+
+func (ticks) Ticks(low, high float64) []plot.Tick {
+	all := plot.DefaultTicks{}.Ticks(low, high)
+	for i := range all {
+		if all[i].Label != "" {
+			all[i].Label = strconv.FormatFloat(all[i].Value, 'g', 6, 64)
+		}
+	}
+	return all
+}
+
 func line(p *plot.Plot, l series, points []experiment.Point, name string, colour int, dashes []vg.Length, low float64) error {
 	xys := make(plotter.XYs, 0, len(points))
 	for i := range points {
