Give the lab's own tests room on a busy machine

With six busy loops on six cores, a stopped process was asked before the signal had taken effect, and test agents that keep a rule were too slow to keep it within the short figures of their experiment.

--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -66,6 +66,16 @@
 	t.Fatalf("process %d still runs", pid)
 }
 
+func stopped(t *testing.T, pid int) {
+	t.Helper()
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if state, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat"); err == nil && strings.Contains(string(state), ") T") {
+			return
+		}
+	}
+	t.Fatalf("process %d does not stand still", pid)
+}
+
 // A process is started, is ready, stands still, goes on, ends on its signal, and is
 // started again under its name; its ends are told with who wanted them.
 func TestLife(t *testing.T) {
@@ -107,6 +117,8 @@
 	if err := p.Signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
+	// The signal is sent, not yet obeyed, when the call returns.
+	stopped(t, p.cmd.Process.Pid)
 	if answers(200 * time.Millisecond) {
 		t.Error("a stopped process answers")
 	}
