Drop what nothing calls, and read stewards' lists by the form's own parser

Left over from building: two counts of arrivals, two fields of a reply, a call of the stewards' client, and a second way to read a list.

Removed; the lab's watches use endpoints.Parse.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -51,15 +51,6 @@
 	return r, c.do(ctx, http.MethodPost, "/v1/renewals", Renewals{Refs: refs}, &r)
 }
 
-// End drains a process, or takes it off the list.
-func (c *Client) End(ctx context.Context, ref catalog.Ref, leave bool) error {
-	method, path := http.MethodPost, fmt.Sprintf("/v1/servers/%s/drain?born_ms=%.0f", ref.Name, ref.BornMs)
-	if leave {
-		method, path = http.MethodDelete, fmt.Sprintf("/v1/servers/%s?born_ms=%.0f", ref.Name, ref.BornMs)
-	}
-	return c.do(ctx, method, path, nil, nil)
-}
-
 // Set gives an operator's word for a server.
 func (c *Client) Set(ctx context.Context, name string, w Word) (r catalog.Result, err error) {
 	return r, c.do(ctx, http.MethodPatch, "/v1/servers/"+name, w, &r)
--- a/internal/lab/client/call.go
+++ b/internal/lab/client/call.go
@@ -89,10 +89,8 @@
 // reply is what came back.
 type reply struct {
 	check.Answer
-	status     int
 	notStarted bool
 	retryAfter time.Duration
-	dialled    bool // a connection was there
 }
 
 // call sends a request once and waits for its answer until the deadline. Should the
@@ -115,7 +113,7 @@
 		rep.At = clock()
 		return rep, false
 	}
-	rep.dialled, rep.Fresh, rep.Kind = true, !c.used, check.Unanswered
+	rep.Fresh, rep.Kind = !c.used, check.Unanswered
 	c.used = true
 	_ = c.SetDeadline(deadline)
 	u, _ := url.ParseRequestURI(r.Path)
@@ -149,7 +147,7 @@
 		rep.Closed = !errors.Is(err, os.ErrDeadlineExceeded)
 		return rep, false
 	}
-	rep.status, rep.Body = resp.StatusCode, string(body)
+	rep.Body = string(body)
 	rep.notStarted = resp.Header.Get("Not-Started") == "1"
 	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < 3600 {
 		rep.retryAfter = time.Duration(s * float64(time.Second))
--- a/internal/lab/client/load.go
+++ b/internal/lab/client/load.go
@@ -5,7 +5,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sort"
 	"time"
 )
@@ -199,23 +198,3 @@
 	x := rng.Float64() * z.sum[len(z.sum)-1]
 	return uint64(sort.SearchFloat64s(z.sum, x))
 }
-
-// Count is how many arrivals there are.
-func Count(all [][]Arrival) int {
-	n := 0
-	for _, a := range all {
-		n += len(a)
-	}
-	return n
-}
-
-// Last is the latest arrival.
-func Last(all [][]Arrival) time.Duration {
-	var last time.Duration
-	for _, a := range all {
-		if len(a) > 0 {
-			last = max(last, slices.MaxFunc(a, func(x, y Arrival) int { return int(x.At - y.At) }).At)
-		}
-	}
-	return last
-}
--- a/internal/lab/experiment/stewards.go
+++ b/internal/lab/experiment/stewards.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -16,7 +15,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"molepaddle/internal/agent"
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/control"
 	"molepaddle/internal/endpoints"
@@ -251,8 +249,8 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var l agent.List
-		if json.Unmarshal(lines.Bytes(), &l) != nil {
+		l, err := endpoints.Parse(lines.Bytes())
+		if err != nil {
 			return
 		}
 		s.seen(*seq, l.Seq)
@@ -280,7 +278,7 @@
 }
 
 // tell tells the checker what was written to the agents of a steward.
-func (s *stewards) tell(at int, l *agent.List) {
+func (s *stewards) tell(at int, l *endpoints.List) {
 	named := map[string]bool{}
 	for _, h := range l.Hosts {
 		named[h.Host] = true
