Listen again at an address though a child that starts still holds a copy of it

A server of the lab could not come back at its port: 'address already in use', seen twice in some thirty runs of the experiment tests. Claimed addresses did not end it. A child holds copies of all descriptors between fork and exec, so while another goroutine starts a process a closed listener lives on.

Listen is tried again for up to 2 s.

--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -133,7 +133,7 @@
 			return err
 		}
 	case l.state == refused:
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := relisten(l.addr)
 		if err != nil {
 			return fmt.Errorf("listen at %s: %w", l.addr, err)
 		}
@@ -147,6 +147,20 @@
 	return nil
 }
 
+// relisten listens at an address that this process may just have closed. A child that is
+// being started holds a copy of every descriptor until it becomes its program, so for some
+// milliseconds the address can still be in use.
+func relisten(addr string) (ln net.Listener, err error) {
+	for end := time.Now().Add(relistenFor); ; time.Sleep(2 * time.Millisecond) {
+		ln, err = net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return ln, err
+		}
+	}
+}
+
+const relistenFor = 2 * time.Second
+
 // release resets the connections that a silent listener holds.
 func (l *Listener) release() {
 	for _, c := range l.held {
--- a/internal/lab/loopback/loopback_test.go
+++ b/internal/lab/loopback/loopback_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os/exec"
 	"sync"
 	"syscall"
 	"testing"
@@ -103,6 +104,41 @@
 	all.Wait()
 }
 
+// A listener comes back at its address while other goroutines start processes, which for
+// a moment hold copies of what was closed.
+func TestOpensWhileProcessesStart(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", func(c net.Conn) { c.Close() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_ = exec.Command("/bin/true").Run()
+				}
+			}
+		}()
+	}
+	for i := range 300 {
+		l.Refuse()
+		if err := l.Open(); err != nil {
+			t.Errorf("turn %d: %v", i, err)
+			break
+		}
+	}
+	close(stop)
+	all.Wait()
+}
+
 // A reset breaks the connection with an error, a close ends it in order.
 func TestReset(t *testing.T) {
 	for _, reset := range []bool{false, true} {
