Wait for the leader's word on the voters, not the newcomer's replay

A steward that lost its folder replays the log, whose first entries name it as a voter; the test took that for its being a voter again and killed the leader while only two voted, so the fleet rightly waited for ever. Change: the test asks the leader, once the newcomer's raft runs (it starts only after it was taken off).

--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -229,7 +229,12 @@
 	}
 	f.start(victim)
 	f.until("a voter again", func() bool {
-		st, err := f.status(victim)
+		// It replays the log, and meanwhile says of the voters what was so before its loss:
+		// the leader's word counts, from when its raft runs, which took its being off them.
+		if st, err := f.status(victim); err != nil || st.Applied == 0 {
+			return false
+		}
+		st, err := f.status(f.leader())
 		return err == nil && slices.Contains(st.Voters, victim) && len(st.Voters) == 3
 	})
 	w.end(f, f.names...)
