--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -40,7 +40,7 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(conf.Limits.Cores)), 1))
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB * 0.6 * (1 << 20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("agent", conf.Name)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: conf.LogLevel})).With("agent", conf.Name)
 	a, err := agent.New(conf, log)
 	if err != nil {
 		return err
@@ -56,7 +56,7 @@
 				log.Error("SIGHUP: the configuration stays as it was", "err", err)
 				continue
 			}
-			log.Info("SIGHUP: configuration read again", "discovery", conf.Discovery)
+			log.Info("SIGHUP: configuration read again", "discovery", conf.Discovery, "stewards", conf.Stewards)
 			a.Reconfigure(conf)
 		}
 	}()
--- a/cmd/steward/bench_test.go
+++ b/cmd/steward/bench_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,6 +70,17 @@
 	return use.CPU, use.RSSMB
 }
 
+// counting counts the calls that go out.
+type counting struct {
+	http.RoundTripper
+	calls *atomic.Int64
+}
+
+func (c counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.calls.Add(1)
+	return c.RoundTripper.RoundTrip(r)
+}
+
 // BenchmarkWatches opens many watches in one second's time at three stewards and measures
 // the time to the last first line; then it makes twenty changes a second for five seconds
 // and measures what a steward uses.
@@ -83,7 +95,8 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				var mu sync.Mutex
 				var firsts []time.Duration
-				var got, calls int
+				var got int
+				var calls atomic.Int64
 				began := time.Now()
 				var all sync.WaitGroup
 				for i := range n {
@@ -91,25 +104,24 @@
 					go func() {
 						defer all.Done()
 						first := true
-						for try := 0; ctx.Err() == nil; try++ {
-							mu.Lock()
-							calls++
-							mu.Unlock()
-							watch(ctx, f.all[f.names[(i+try)%3]].http, 0, func(l *endpoints.List) {
+						c := endpoints.NewClient(endpoints.ClientConfig{Addresses: f.client(f.names...).Addrs, Order: uint64(i),
+							Fleet: n, NeverOlder: true, Transport: counting{&http.Transport{DisableKeepAlives: true}, &calls}})
+						for ctx.Err() == nil { // each round is one that the policy of an agent begins
+							_ = c.Watch(ctx, 0, func(endpoints.List) {
 								mu.Lock()
 								defer mu.Unlock()
 								if got++; first {
 									first, firsts = false, append(firsts, time.Since(began))
 								}
 							})
-							time.Sleep(time.Duration(50+(i*37)%200) * time.Millisecond)
+							time.Sleep(time.Duration(500+(i*37)%500) * time.Millisecond)
 						}
 					}()
 				}
 				f.until("all are served", func() bool { mu.Lock(); defer mu.Unlock(); return len(firsts) == n })
 				mu.Lock()
 				report(b, "first", slices.Clone(firsts))
-				b.ReportMetric(float64(calls)/float64(n), "calls/watch")
+				b.ReportMetric(float64(calls.Load())/float64(n), "calls/watch")
 				before := got
 				mu.Unlock()
 				lead := f.leader()
--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
@@ -20,21 +18,26 @@
 	"molepaddle/internal/lab/link"
 )
 
-// follow starts a reader.
+// follow starts a reader, which begins at the first named.
 func (f *fleet) follow(at ...string) *reader {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &reader{hosts: map[string]endpoints.Host{}, stop: cancel, done: make(chan struct{})}
-	var addrs []string
-	for _, n := range at {
-		addrs = append(addrs, f.all[n].http)
-	}
+	addrs := f.client(at...).Addrs
+	order := uint64(0)
+	for first := ""; first != addrs[0]; order++ {
+		c := endpoints.NewChooser(addrs, order+1, 1)
+		c.Begin()
+		first, _, _ = c.Next(0, 0)
+	}
+	// It takes older lists too, to be able to say that there were any.
+	c := endpoints.NewClient(endpoints.ClientConfig{Addresses: addrs, Order: order, Fleet: 1})
 	go func() {
 		defer close(r.done)
-		for i := 0; ctx.Err() == nil; i++ {
+		for ctx.Err() == nil {
 			r.mu.Lock()
 			seq := r.seq
 			r.mu.Unlock()
-			watch(ctx, addrs[i%len(addrs)], seq, r.take)
+			_ = c.Watch(ctx, seq, func(l endpoints.List) { r.take(&l) })
 			time.Sleep(10 * time.Millisecond)
 		}
 	}()
@@ -42,35 +45,6 @@
 	return r
 }
 
-// watch follows one steward until it ends, or is silent for longer than an agent waits.
-func watch(ctx context.Context, addr string, since int64, take func(*endpoints.List)) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silent := time.AfterFunc(3500*time.Millisecond, cancel)
-	defer silent.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?follow=1&since=%d", addr, endpoints.Path, since), nil)
-	if err != nil {
-		return
-	}
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
-		silent.Reset(3500 * time.Millisecond)
-		var l endpoints.List
-		if len(lines.Bytes()) > 0 && json.Unmarshal(lines.Bytes(), &l) == nil {
-			take(&l)
-		}
-	}
-}
-
 // A leader that is killed, stopped, or no longer heard is replaced; writes go on, nothing
 // that was acknowledged is lost, no version goes back, and it catches up when it is well.
 func TestLeaderFails(t *testing.T) {
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/control"
 	"molepaddle/internal/endpoints"
@@ -24,12 +26,42 @@
 func TestMain(m *testing.M) {
 	if os.Getenv("STEWARD_CHILD") == "1" {
 		os.Unsetenv("STEWARD_CHILD")
+		adjust = unlike
 		main()
 		os.Exit(0)
 	}
+	if os.Getenv("AGENT_CHILD") == "1" {
+		agentMain()
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
+// unlike gives a steward the machine that its environment tells of: a clock that is set
+// apart, and a disk that takes nothing while a file is there.
+func unlike(c *control.Config) {
+	if apart, err := time.ParseDuration(os.Getenv("TEST_CLOCK")); err == nil {
+		c.Now = func() time.Time { return time.Now().Add(apart) }
+	}
+	if file := os.Getenv("TEST_DISK"); file != "" {
+		c.Log = func(s raft.LogStore) raft.LogStore { return slowDisk{s, file} }
+	}
+}
+
+type slowDisk struct {
+	raft.LogStore
+	file string
+}
+
+func (d slowDisk) StoreLogs(logs []*raft.Log) error {
+	for {
+		if _, err := os.Stat(d.file); err != nil {
+			return d.LogStore.StoreLogs(logs)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // soon bounds what is waited for on a busy machine.
 const soon = time.Minute
 
@@ -306,6 +338,7 @@
 	seq   int64
 	back  []string
 	hosts map[string]endpoints.Host
+	ever  map[string]bool // that were listed at any time
 	whole int
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -329,7 +362,11 @@
 		r.whole++
 		clear(r.hosts)
 	}
+	if r.ever == nil {
+		r.ever = map[string]bool{}
+	}
 	for _, h := range l.Hosts {
+		r.ever[h.Host] = true
 		if r.hosts[h.Host] = h; h.Health == endpoints.Gone {
 			delete(r.hosts, h.Host)
 		}
--- a/cmd/steward/main.go
+++ b/cmd/steward/main.go
@@ -70,11 +70,15 @@
 	return cmd
 }
 
+// adjust changes what no configuration can: the clock and the disk, in tests.
+var adjust = func(*control.Config) {}
+
 func serve(ctx context.Context, path string, set map[string]any) error {
 	c, err := control.LoadConfig(path, set)
 	if err != nil {
 		return err
 	}
+	adjust(c)
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(c.LogLevel)) // checked with the configuration
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("steward", c.Name)
@@ -132,6 +136,9 @@
 				if st.Stale {
 					state += ", stale"
 				}
+				if st.Draining {
+					state += ", draining"
+				}
 				rows = append(rows, []string{addr, st.Name, state, st.Leader, fmt.Sprint(st.Seq), fmt.Sprint(st.Listed),
 					fmt.Sprint(st.Watches), strings.Join(st.Voters, " ")})
 				if st.Held > 0 {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"molepaddle/internal/endpoints"
 	"molepaddle/policy"
 )
 
@@ -466,7 +467,7 @@
 	}()
 	<-dialling
 	text, _ := json.Marshal(map[string]any{"seq": 2, "hosts": []any{host(0, "127.0.0.1:1", "draining"), host(1, good, "ready")}})
-	change, err := parseList(text)
+	change, err := endpoints.Parse(text)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -489,14 +490,14 @@
 	return l
 }
 
-func list(seq int64, whole bool, hosts ...Host) List {
-	return List{Seq: seq, Whole: whole, Hosts: hosts}
+func list(seq int64, whole bool, hosts ...endpoints.Host) endpoints.List {
+	return endpoints.List{Seq: seq, Whole: whole, Hosts: hosts}
 }
 
 // Lists apply in the order of their versions, whichever way they come.
 func TestListOrder(t *testing.T) {
 	l := quietLoop(t, "127.0.0.1:1", "127.0.0.1:2")
-	h := Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "draining"}
+	h := endpoints.Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "draining"}
 	usable := func(name string) bool { b := l.backends[addrOf(name)]; return b != nil && b.usable }
 	l.handle(input{kind: inWatched, list: list(5, false, h)})
 	if usable("s-0") || !usable("s-1") {
@@ -515,7 +516,7 @@
 	if len(l.backends) != 1 {
 		t.Fatalf("%d backends kept, one is listed", len(l.backends))
 	}
-	l.handle(input{kind: inWatched, list: list(7, false, Host{Host: "s-0", Health: "gone"})})
+	l.handle(input{kind: inWatched, list: list(7, false, endpoints.Host{Host: "s-0", Health: "gone"})})
 	if len(l.backends) != 0 || l.ready.Load() {
 		t.Fatal("the backend that is gone was kept")
 	}
@@ -559,7 +560,7 @@
 	l := quietLoop(t, "127.0.0.1:1")
 	b := l.backends[addrOf("s-0")]
 	before := b.transport
-	h := Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "ready", Share: 1}
+	h := endpoints.Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "ready", Share: 1}
 	l.handle(input{kind: inWatched, list: list(2, false, h)})
 	if b.transport != before {
 		t.Fatal("connections thrown away though nothing changed")
@@ -652,7 +653,7 @@
 }
 
 // scripted is a discovery whose watch writes lines and then stays open or ends.
-func scripted(t *testing.T, stay bool, lines ...string) (*discovery, chan input) {
+func scripted(t *testing.T, silence time.Duration, stay bool, lines ...string) (*discovery, chan input) {
 	release := make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		for _, line := range lines {
@@ -668,15 +669,15 @@
 	}))
 	t.Cleanup(func() { close(release); s.Close() })
 	told := make(chan input, 100)
-	return newDiscovery(s.Listener.Addr().String(), func(in input) { told <- in }), told
+	return newDiscovery(endpoints.ClientConfig{Addresses: []string{s.Listener.Addr().String()}, Silence: silence},
+		func(in input) { told <- in }), told
 }
 
 const change = `{"seq":2,"whole":false,"hosts":[{"host":"s-0","dial":"127.0.0.1:1","health":"draining"}]}`
 
 // A watch ends at a line that makes no sense, having told those before.
 func TestMalformedLine(t *testing.T) {
-	d, told := scripted(t, true, "", change, `{"seq":3,"hosts":[{"host":"s-0","health":"odd"}]}`)
-	d.silence = never
+	d, told := scripted(t, never, true, "", change, `{"seq":3,"hosts":[{"host":"s-0","health":"odd"}]}`)
 	d.watch(context.Background(), 1)
 	if in := <-told; in.kind != inWatched || in.list.Seq != 2 || in.list.Hosts[0].Health != "draining" {
 		t.Fatalf("told %+v", in)
@@ -688,8 +689,7 @@
 
 // A watch on which nothing comes is dead and ends.
 func TestSilentWatch(t *testing.T) {
-	d, told := scripted(t, true)
-	d.silence = time.Millisecond
+	d, told := scripted(t, time.Millisecond, true)
 	d.watch(context.Background(), 1)
 	if in := <-told; in.kind != inWatchEnded || in.err == nil {
 		t.Fatalf("told %+v", in)
@@ -697,13 +697,13 @@
 }
 
 func TestFetch(t *testing.T) {
-	d, told := scripted(t, false, strings.Replace(change, "false", "true", 1))
-	d.fetch(context.Background())
+	d, told := scripted(t, never, false, strings.Replace(change, "false", "true", 1))
+	d.fetch(context.Background(), 0)
 	if in := <-told; in.kind != inFetched || in.err != nil || !in.list.Whole || in.list.Seq != 2 {
 		t.Fatalf("told %+v", in)
 	}
-	d, told = scripted(t, false, "no list")
-	d.fetch(context.Background())
+	d, told = scripted(t, never, false, "no list")
+	d.fetch(context.Background(), 0)
 	if in := <-told; in.kind != inFetched || in.err == nil {
 		t.Fatalf("told %+v", in)
 	}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,10 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/wire"
 	"molepaddle/policy"
 )
@@ -31,7 +34,19 @@
 	Limits    Limits
 	Settings  policy.Settings
 	Names     names
-	Known     List
+	Known     endpoints.List
+
+	// What the platform doesn't know; it is off unless a configuration of our own has it.
+	Stewards []string // the list service's addresses, in place of Discovery
+	LogLevel slog.Level
+}
+
+// addresses is where the list is asked for.
+func (c *Config) addresses() []string {
+	if len(c.Stewards) > 0 {
+		return c.Stewards
+	}
+	return []string{c.Discovery}
 }
 
 // names maps the words of discovery and of clients to the module's numbers.
@@ -62,6 +77,8 @@
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
+		Stewards  []string        `json:"stewards"`
+		LogLevel  string          `json:"log_level"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
 		var bad *json.UnmarshalTypeError
@@ -70,13 +87,28 @@
 		}
 		return nil, fmt.Errorf("config: no JSON: %w", err)
 	}
-	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits}
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits,
+		Stewards: raw.Stewards}
+	if err := c.LogLevel.UnmarshalText([]byte(raw.LogLevel)); err != nil && raw.LogLevel != "" {
+		return nil, fmt.Errorf("config: log_level: must be debug, info, warn or error, is %q", raw.LogLevel)
+	}
 	if err := checkAddress(raw.Listen); err != nil {
 		return nil, fmt.Errorf("config: listen: %w", err)
 	}
-	if err := checkAddress(raw.Discovery); err != nil {
+	if err := checkAddress(raw.Discovery); err != nil && (raw.Discovery != "" || len(raw.Stewards) == 0) {
 		return nil, fmt.Errorf("config: discovery: %w", err)
 	}
+	if len(raw.Stewards) > mostStewards {
+		return nil, fmt.Errorf("config: stewards: %d addresses of at most %d", len(raw.Stewards), mostStewards)
+	}
+	for i, addr := range raw.Stewards {
+		if err := checkAddress(addr); err != nil {
+			return nil, fmt.Errorf("config: stewards[%d]: %w", i, err)
+		}
+		if slices.Contains(raw.Stewards[:i], addr) {
+			return nil, fmt.Errorf("config: stewards[%d]: named twice: %q", i, addr)
+		}
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("config: seed: not 64 bits in hexadecimal: %q", raw.Seed)
@@ -119,13 +151,17 @@
 		c.Names.tenants[tenant.Name] = i
 	}
 	if len(raw.Known) > 0 {
-		if c.Known, err = parseList(raw.Known); err != nil {
+		if c.Known, err = endpoints.Parse(raw.Known); err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
 		}
 	}
 	return c, nil
 }
 
+// mostStewards bounds the addresses of the list service; it has five processes at most,
+// and as many more while they are replaced.
+const mostStewards = 16
+
 func checkAddress(addr string) error {
 	_, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"net/url"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/endpoints"
 	"molepaddle/policy"
 )
 
@@ -27,7 +29,8 @@
 	inFetched                  // list or err
 	inWatched                  // list
 	inWatchEnded               // err
-	inMoved                    // addr: where discovery is from now on
+	inMoved                    // addrs: where discovery is from now on
+	inFailover                 // addr: where it is not asked any more, err
 )
 
 // input is one thing that happened, on its way to the loop.
@@ -37,10 +40,11 @@
 	att   *attempt
 	res   result
 	token uint32
-	list  List
+	list  endpoints.List
 	err   error
 	from  *discovery // who told
 	addr  string
+	addrs []string
 }
 
 // request is what a client asked. The handler fills it in; what stands below
@@ -89,7 +93,10 @@
 	baseMs   float64
 	dialer   *dialer
 	disc     *discovery
-	leaveOff context.CancelFunc // ends the calls to disc
+	lists    *endpoints.ClientConfig // of what several stewards list; nil: one discovery does
+	quiet    endpoints.Bucket        // for lines on discovery
+	left     int                     // lines since the last that there was no room for
+	leaveOff context.CancelFunc      // ends the calls to disc
 	discCtx  context.Context
 	requests map[policy.RequestID]*request
 	backends map[policy.Addr]*backend
@@ -125,7 +132,12 @@
 	if l.dialer.timeout <= 0 {
 		l.dialer.timeout = time.Second
 	}
-	l.ask(c.Discovery)
+	// A fault of discovery is one that all agents see: they share the room for its lines.
+	l.quiet = endpoints.Bucket{Most: 10, PerSecond: min(1, 20/float64(max(set.Replicas, 1)))}
+	if len(c.Stewards) > 0 {
+		l.lists = &endpoints.ClientConfig{Order: c.Seed, Fleet: set.Replicas, NeverOlder: true}
+	}
+	l.ask(c.addresses())
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
 	l.learn(policy.ListCached, &c.Known)
@@ -193,46 +205,76 @@
 		l.fetching = false
 		switch {
 		case in.err != nil:
-			l.log.Warn("discovery: fetch failed", "err", in.err)
+			l.warn("discovery: fetch failed", "err", in.err)
 			l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		case in.list.Seq >= l.seq: // the watch may have told more meanwhile
 			l.learn(policy.ListFull, &in.list)
 		}
 	case inWatched:
 		switch {
-		case in.list.Whole:
+		case in.list.Whole && (l.lists == nil || in.list.Seq >= l.seq):
 			l.learn(policy.ListFull, &in.list)
 		case in.list.Seq >= l.seq: // of the same version: nothing changed, but the call was answered
 			l.learn(policy.ListDelta, &in.list)
 		}
 	case inWatchEnded:
 		l.watching = false
-		l.log.Warn("discovery: watch ended", "err", in.err)
+		l.warn("discovery: watch ended", "err", in.err)
 		l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+	case inFailover:
+		l.warn("discovery: asked elsewhere", "left", in.addr, "err", in.err)
 	case inMoved:
-		l.move(in.addr)
+		l.move(in.addrs)
+	}
+}
+
+// warn writes a line on discovery, as long as there is room for one.
+func (l *loop) warn(text string, args ...any) {
+	if !l.quiet.Take(time.Since(l.base)) {
+		l.left++
+		return
 	}
+	if l.left > 0 {
+		args = append(args, "lines_left_out", l.left)
+	}
+	if held := l.disc.client.Held(); held > 0 {
+		args = append(args, "calls_held_back", held)
+	}
+	l.left = 0
+	l.log.Warn(text, args...)
 }
 
-// ask makes addr the discovery that is asked from now on.
-func (l *loop) ask(addr string) {
-	l.disc = newDiscovery(addr, l.post)
+// ask makes these the addresses of the discovery that is asked from now on.
+func (l *loop) ask(addrs []string) {
+	var c endpoints.ClientConfig
+	if l.lists != nil {
+		c = *l.lists
+	}
+	c.Addresses = addrs
+	l.disc = newDiscovery(c, l.post)
 	l.discCtx, l.leaveOff = context.WithCancel(l.ctx)
 }
 
 // move takes the calls under way to discovery's new address. To the module they are the
 // ones it made. The watch begins there also where the module waits to ask again: that
-// wait is for the address before, and the new one's changes count as told in 4 s.
-func (l *loop) move(addr string) {
-	if addr == l.disc.addr {
+// wait is for the address before, and the new one's changes count as told in 4 s. Of
+// several addresses a watch leaves only one that is no longer among them.
+func (l *loop) move(addrs []string) {
+	if slices.Equal(addrs, l.disc.addrs) {
 		return
 	}
-	l.leaveOff()
-	l.ask(addr)
-	if l.fetching {
-		go l.disc.fetch(l.discCtx)
+	if l.lists != nil {
+		l.disc.addrs = addrs
+		l.disc.client.Set(addrs)
+	} else {
+		l.leaveOff()
+		l.ask(addrs)
+		l.watching = false
+		if l.fetching {
+			go l.disc.fetch(l.discCtx, l.seq)
+		}
 	}
-	if l.set.Membership == "on_request" {
+	if l.set.Membership == "on_request" && !l.watching {
 		l.watching = true
 		go l.disc.watch(l.discCtx, l.seq)
 	}
@@ -346,7 +388,7 @@
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
-				go l.disc.fetch(l.discCtx)
+				go l.disc.fetch(l.discCtx, l.seq)
 			}
 		case policy.ActClose:
 			if b := l.backends[act.Server]; b != nil {
@@ -412,8 +454,9 @@
 }
 
 // learn applies a list: to the connections first, then the module is told.
-func (l *loop) learn(kind policy.ListKind, list *List) {
+func (l *loop) learn(kind policy.ListKind, list *endpoints.List) {
 	l.seq = list.Seq
+	l.log.Debug("list taken", "version", list.Seq, "entries", len(list.Hosts))
 	entries := make([]policy.Entry, len(list.Hosts))
 	named := map[policy.Addr]bool{}
 	for i := range list.Hosts {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -104,9 +104,9 @@
 	return a.leave()
 }
 
-// Reconfigure takes over what may change while the agent runs: discovery's address.
+// Reconfigure takes over what may change while the agent runs: discovery's addresses.
 func (a *Agent) Reconfigure(c *Config) {
-	a.loop.post(input{kind: inMoved, addr: c.Discovery})
+	a.loop.post(input{kind: inMoved, addrs: c.addresses()})
 }
 
 // leave ends the agent in order: clients go on coming for a while after the signal,
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -48,7 +48,13 @@
 	mux.HandleFunc("PUT /v1/peers/{name}", n.leaderWrites(n.addPeer))
 	mux.HandleFunc("DELETE /v1/peers/{name}", n.leaderWrites(n.removePeer))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.m.registry, promhttp.HandlerOpts{}))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// Also for what no handler reads: the server reads it to its end otherwise.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyWait))
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func answer(w http.ResponseWriter, v any) {
@@ -112,7 +118,8 @@
 		n.m.calls.WithLabelValues("list", "away").Inc()
 		return
 	}
-	if n.raft() == nil || n.fsm.seq() == 0 || n.stale() {
+	movable := r.Header.Get(endpoints.OthersHeader) != ""
+	if n.raft() == nil || n.fsm.seq() == 0 || n.stale() || movable && n.draining.Load() {
 		// Nobody is to be left without a list that is better than none; but whoever can go to
 		// a steward that has the quorum is better off there.
 		if n.raft() == nil || n.fsm.seq() == 0 || n.betterElsewhere() {
@@ -133,17 +140,18 @@
 		http.Error(w, "this steward lags behind what the reader knows", http.StatusServiceUnavailable)
 		return
 	}
-	if !n.hub.enter(n.c.MaxWatches) {
+	end, ok := n.hub.enter(n.c.MaxWatches, movable)
+	if !ok {
 		n.calls.refuse(w, latest)
 		return
 	}
-	defer n.hub.leave()
+	defer n.hub.leave(end)
 	n.m.calls.WithLabelValues("list", "watch").Inc()
 	w.Header().Set("Content-Type", "application/json")
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(n.ctx, cancel)()
-	n.hub.watch(ctx, w, since)
+	n.hub.watch(ctx, w, since, end)
 }
 
 func (n *Node) writeWhole(w http.ResponseWriter) {
@@ -155,7 +163,7 @@
 // catches up; or the reader's version is from another life of the service, and the leader
 // raises its own beyond it. Not ok is a steward that lags too far while a better one is there.
 func (n *Node) behind(ctx context.Context, since int64) bool {
-	if since <= n.fsm.seq() || since > time.Now().UnixMicro()+dayOfVersions {
+	if since <= n.fsm.seq() || since > n.c.Now().UnixMicro()+dayOfVersions {
 		return true
 	}
 	n.tellSeen(since)
@@ -200,7 +208,7 @@
 	if err := body(w, r, &b); err != nil {
 		return err
 	}
-	if b.Seq > time.Now().UnixMicro()+dayOfVersions || b.Seq < 0 {
+	if b.Seq > n.c.Now().UnixMicro()+dayOfVersions || b.Seq < 0 {
 		return bad("seq: no version that a reader can have")
 	}
 	if n.fsm.seq() < b.Seq {
@@ -297,13 +305,12 @@
 	if r.URL.Path == "/v1/snapshot" || r.URL.Path == "/v1/renewals" {
 		most = maxSnapshot
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyWait))
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
+		w.Header().Set("Connection", "close") // what is left of it is waited for no longer
 		return nil, bad("body: %v", err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return text, nil
 }
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -5,16 +5,19 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/endpoints"
 )
 
-// Client speaks to stewards: to the first of its addresses that answers.
+// Client speaks to stewards: to the first of its addresses that answers. One that did not
+// is asked last from then on.
 type Client struct {
 	Addrs []string
 	HTTP  *http.Client
+	first atomic.Int64
 }
 
 // NewClient makes a client whose calls may take as long as given.
@@ -26,9 +29,14 @@
 // only where the call surely had no effect.
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
 	err := errors.New("no address of a steward")
-	for _, addr := range c.Addrs {
+	first := c.first.Load()
+	for i := range c.Addrs {
+		addr := c.Addrs[(int(first)+i)%len(c.Addrs)]
 		err = call(ctx, c.HTTP, method, "http://"+addr+path, body, into)
 		var refused *HTTPError
+		if err != nil && !errors.As(err, &refused) {
+			c.first.CompareAndSwap(first+int64(i), first+int64(i)+1)
+		}
 		switch {
 		case err == nil:
 			return nil
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-viper/mapstructure/v2"
+	"github.com/hashicorp/raft"
 	"github.com/knadh/koanf/parsers/toml/v2"
 	"github.com/knadh/koanf/providers/env/v2"
 	"github.com/knadh/koanf/providers/file"
@@ -41,6 +42,7 @@
 	Heartbeat  time.Duration `koanf:"heartbeat"`   // a leader that is silent for longer is replaced
 	StaleAfter time.Duration `koanf:"stale_after"` // without the quorum, watches are sent elsewhere
 	Coalesce   time.Duration `koanf:"coalesce"`    // changes within it are one line of a watch
+	Drain      time.Duration `koanf:"drain"`       // before it ends, its watches are sent elsewhere within it
 	MaxWatches int           `koanf:"max_watches"`
 	CallRate   float64       `koanf:"call_rate"` // whole lists and new watches a second; a whole list counts as one for each 200 entries
 	MaxWrites  int           `koanf:"max_writes"`
@@ -48,13 +50,16 @@
 	SnapshotEvery uint64        `koanf:"snapshot_every"` // log entries
 	SnapshotCheck time.Duration `koanf:"snapshot_check"`
 	LogLevel      string        `koanf:"log_level"`
+
+	Now func() time.Time                  `koanf:"-"` // the machine's clock, of which no more is asked than a hint
+	Log func(raft.LogStore) raft.LogStore `koanf:"-"` // stands before the log on the disk
 }
 
 // Defaults are those of a steward that stands alone on this machine.
 func Defaults() Config {
 	return Config{Name: "steward", Listen: "127.0.0.1:8500", Raft: "127.0.0.1:8501",
 		LeaseTTL: 6 * time.Second, GuardShare: 0.4, GuardWindow: 10 * time.Second,
-		Heartbeat: 500 * time.Millisecond, StaleAfter: 5 * time.Second, Coalesce: 5 * time.Millisecond,
+		Heartbeat: 500 * time.Millisecond, StaleAfter: 5 * time.Second, Coalesce: 5 * time.Millisecond, Drain: 2 * time.Second, Now: time.Now, Log: func(s raft.LogStore) raft.LogStore { return s },
 		MaxWatches: 5000, CallRate: 2000, MaxWrites: 1024, SnapshotEvery: 8192, SnapshotCheck: 20 * time.Second, LogLevel: "info"}
 }
 
@@ -116,6 +121,7 @@
 		{"heartbeat", c.Heartbeat < 20*time.Millisecond, fmt.Sprintf("must be 20ms or above, is %v", c.Heartbeat)},
 		{"stale_after", c.StaleAfter <= 0, fmt.Sprintf("must be above 0, is %v", c.StaleAfter)},
 		{"coalesce", c.Coalesce < 0, fmt.Sprintf("must be 0 or above, is %v", c.Coalesce)},
+		{"drain", c.Drain < 0 || c.Drain > time.Minute, fmt.Sprintf("must be 0 to 1m, is %v", c.Drain)},
 		{"max_watches", c.MaxWatches < 1, fmt.Sprintf("must be 1 or above, is %d", c.MaxWatches)},
 		{"call_rate", !(c.CallRate > 0), fmt.Sprintf("must be above 0, is %v", c.CallRate)},
 		{"max_writes", c.MaxWrites < 1, fmt.Sprintf("must be 1 or above, is %d", c.MaxWrites)},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -113,7 +113,7 @@
 		readers := make([]*reader, 50)
 		for i := range readers {
 			readers[i] = newReader()
-			go st.hub.watch(ctx, readers[i], 0)
+			go st.hub.watch(ctx, readers[i], 0, nil)
 		}
 		synctest.Wait()
 		before := st.hub.encoded
@@ -121,7 +121,7 @@
 			st.register(t, "b", float64(i+1))
 		}
 		between := newReader() // it comes before the line does, and knows two of the three
-		go st.hub.watch(ctx, between, st.seq()-1)
+		go st.hub.watch(ctx, between, st.seq()-1, nil)
 		time.Sleep(20 * time.Millisecond)
 		synctest.Wait()
 		if n := st.hub.encoded - before; n != 1 {
@@ -154,8 +154,8 @@
 		st.register(t, "a", 1)
 		time.Sleep(time.Second)
 		slow, quick := newReader(), newReader()
-		go st.hub.watch(ctx, slow, 0)
-		go st.hub.watch(ctx, quick, 0)
+		go st.hub.watch(ctx, slow, 0, nil)
+		go st.hub.watch(ctx, quick, 0, nil)
 		synctest.Wait()
 		slow.mu.Lock()
 		slow.block = make(chan struct{})
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -39,13 +39,15 @@
 	changed chan struct{} // closed at the next line
 	ends    chan struct{} // closed to end all watches
 	open    int
-	whole   line // the whole list, as it was encoded last
+	movable map[chan struct{}]bool // ends of the watches whose readers know other stewards
+	whole   line                   // the whole list, as it was encoded last
 
 	encoded, sent, lagged int64
 }
 
 func newHub(f *fsm, coalesce time.Duration) *hub {
-	return &hub{fsm: f, coalesce: coalesce, pokes: make(chan struct{}, 1), changed: make(chan struct{}), ends: make(chan struct{})}
+	return &hub{fsm: f, coalesce: coalesce, pokes: make(chan struct{}, 1), changed: make(chan struct{}), ends: make(chan struct{}),
+		movable: map[chan struct{}]bool{}}
 }
 
 // poke says that the list may be another.
@@ -151,21 +153,50 @@
 	return h.open
 }
 
-// enter counts a watch, unless there are as many as there may be.
-func (h *hub) enter(most int) bool {
+// load is how many watches there are, and how many of them can go elsewhere.
+func (h *hub) load() load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return load{h.open, len(h.movable)}
+}
+
+// enter counts a watch, unless there are as many as there may be. What it returns is closed
+// to end this one.
+func (h *hub) enter(most int, movable bool) (chan struct{}, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.open >= most {
-		return false
+		return nil, false
 	}
 	h.open++
-	return true
+	end := make(chan struct{})
+	if movable {
+		h.movable[end] = true
+	}
+	return end, true
 }
 
-func (h *hub) leave() {
+func (h *hub) leave(end chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.open--
+	delete(h.movable, end)
+}
+
+// move ends so many of the watches whose readers can go elsewhere, and tells how many it
+// were. Which ones is left to chance.
+func (h *hub) move(n int) (moved int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for end := range h.movable {
+		if moved >= n {
+			break
+		}
+		close(end)
+		delete(h.movable, end)
+		moved++
+	}
+	return moved
 }
 
 // endAll ends all watches and tells how many there were.
@@ -178,7 +209,7 @@
 }
 
 // watch writes what changes after a version until the reader or the steward ends it.
-func (h *hub) watch(ctx context.Context, w http.ResponseWriter, since int64) {
+func (h *hub) watch(ctx context.Context, w http.ResponseWriter, since int64, moved <-chan struct{}) {
 	control := http.NewResponseController(w)
 	write := func(text []byte) bool {
 		if control.SetWriteDeadline(time.Now().Add(writeWait)) != nil {
@@ -214,6 +245,8 @@
 			continue
 		case <-ends:
 			return
+		case <-moved:
+			return
 		case <-ctx.Done():
 			return
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -13,6 +13,7 @@
 	commit    prometheus.Histogram
 	decided   *prometheus.CounterVec
 	calls     *prometheus.CounterVec
+	moved     prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -32,6 +33,7 @@
 	gauge("watches", "Watches that are open.", func(st *Status) float64 { return float64(st.Watches) })
 	gauge("leads", "1 while this steward leads.", func(st *Status) float64 { return truth(st.State == "leader") })
 	gauge("stale", "1 while it has been without the quorum for longer than its bound.", func(st *Status) float64 { return truth(st.Stale) })
+	gauge("lag_seconds", "Since the leader had committed what is not applied here.", func(st *Status) float64 { return float64(st.LagMs) / 1000 })
 	gauge("silence_seconds", "Since the leader was heard last.", func(st *Status) float64 { return float64(st.SilentMs) / 1000 })
 	fanOut := func(name, help string, of func(h *hub) int64) {
 		f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_" + name, Help: help}, func() float64 {
@@ -47,6 +49,7 @@
 		func() float64 { return float64(n.calls.refused.Load()) })
 	return &metrics{registry: r,
 		elections: f.NewCounter(prometheus.CounterOpts{Name: "steward_terms_led_total", Help: "Times that this steward began to lead."}),
+		moved:     f.NewCounter(prometheus.CounterOpts{Name: "steward_watches_moved_total", Help: "Watches that were sent to other stewards, a few at a time."}),
 		commit: f.NewHistogram(prometheus.HistogramOpts{Name: "steward_commit_seconds", Help: "From a proposal to its result.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)}),
 		decided: f.NewCounterVec(prometheus.CounterOpts{Name: "steward_decided_total", Help: "Servers that the leader decided on, by command."}, []string{"command"}),
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -58,9 +58,10 @@
 	base     time.Duration   // the state's clock when it began to lead
 	ledSince time.Time
 
-	reads     barriers
-	contact   atomic.Int64 // when a leader was heard last, in ns since began
-	elsewhere freshPeers
+	reads    barriers
+	others   lookout
+	lagged   atomic.Int64 // ns by which this steward lags behind what the leader had committed
+	draining atomic.Bool
 }
 
 // Start opens the data folder and joins the other stewards.
@@ -95,7 +96,7 @@
 		return err
 	}
 	n.own(n.follow)
-	n.own(n.watchStale)
+	n.own(n.tend)
 	return nil
 }
 
@@ -152,7 +153,7 @@
 	rc.TrailingLogs = n.c.SnapshotEvery
 	rc.NoSnapshotRestoreOnStart = false
 	rc.ShutdownOnRemove = false // it serves its list until it is ended
-	r, err := raft.NewRaft(rc, n.fsm, n.store, &promises{n.store.bolt, n.fail}, n.store.snaps, n.trans)
+	r, err := raft.NewRaft(rc, n.fsm, n.c.Log(n.store), &promises{n.store.bolt, n.fail}, n.store.snaps, n.trans)
 	if err != nil {
 		return fmt.Errorf("raft: %w", err)
 	}
@@ -266,13 +267,16 @@
 	}
 }
 
-// Close ends the steward: leadership is handed over first.
+// Close ends the steward: leadership is handed over first, then its watches are.
 func (n *Node) Close() {
 	if n.raft() != nil && n.raft().State() == raft.Leader && len(n.voters()) > 1 {
 		if err := n.raft().LeadershipTransfer().Error(); err != nil {
 			n.log.Warn("leadership was not handed over", "err", err)
 		}
 	}
+	if n.raft() != nil {
+		n.drain()
+	}
 	n.close()
 	n.log.Info("ended")
 }
@@ -368,7 +372,7 @@
 // raise brings the version to where no reader has been: versions never go back, also where
 // the state is new or an old one. The clock is a hint only; what a reader has seen counts.
 func (n *Node) raise(seen int64) {
-	floor := max(time.Now().UnixMicro(), seen+1)
+	floor := max(n.c.Now().UnixMicro(), seen+1)
 	if floor > maxSeq {
 		return // no service ever said such a version
 	}
@@ -540,61 +544,139 @@
 	return time.Since(last)
 }
 
-// stale tells whether it has lost the quorum for longer than its bound.
-func (n *Node) stale() bool { return n.silence() > n.c.StaleAfter }
+// stale tells whether it has lost the quorum, or lags, for longer than its bound.
+func (n *Node) stale() bool {
+	return n.silence() > n.c.StaleAfter || time.Duration(n.lagged.Load()) > n.c.StaleAfter
+}
 
-// watchStale ends the watches once it has become stale, if a better steward is there.
-func (n *Node) watchStale() {
-	t := time.NewTicker(min(n.c.StaleAfter/4, time.Second))
+// tend looks after the watches: they are ended once this steward has become stale while a
+// better one is there, and some of them, in small steps, when others have fewer.
+func (n *Node) tend() {
+	t := time.NewTicker(min(n.c.StaleAfter/4, lookAgain))
 	defer t.Stop()
+	var behind progress
+	var spread time.Time
 	for {
 		select {
 		case <-t.C:
-			if n.stale() && n.betterElsewhere() {
-				if ended := n.hub.endAll(); ended > 0 {
-					n.log.Warn("without the quorum: watches are sent elsewhere", "watches", ended, "silent_for", n.silence().Round(time.Millisecond))
-				}
-			}
 		case <-n.ctx.Done():
 			return
 		}
+		found := n.look()
+		for i := range found {
+			if st := &found[i]; st.State == "leader" && st.Term >= n.raft().CurrentTerm() {
+				behind.saw(time.Since(n.began), st.Committed)
+			}
+		}
+		n.lagged.Store(int64(behind.lag(time.Since(n.began), n.raft().AppliedIndex())))
+		if n.stale() && better(found) {
+			if ended := n.hub.endAll(); ended > 0 {
+				n.log.Warn("without the quorum or behind: watches are sent elsewhere", "watches", ended,
+					"silent_for", n.silence().Round(time.Millisecond), "behind_by", time.Duration(n.lagged.Load()).Round(time.Millisecond))
+			}
+			continue
+		}
+		if time.Since(spread) < lookAgain {
+			continue
+		}
+		spread = time.Now()
+		if moved := n.hub.move(surplus(n.hub.load(), loads(found))); moved > 0 {
+			n.m.moved.Add(float64(moved))
+			n.log.Info("other stewards have fewer watches", "sent_elsewhere", moved, "left", n.hub.watches())
+		}
 	}
 }
 
-// freshPeers remembers for a while whether another steward is better.
-type freshPeers struct {
-	mu   sync.Mutex
-	at   time.Time
-	some bool
+// loads is what the stewards have to which a watch can go.
+func loads(found []Status) (out []load) {
+	for i := range found {
+		if st := &found[i]; serves(st) {
+			out = append(out, load{st.Watches, st.Movable})
+		}
+	}
+	return out
+}
+
+func serves(st *Status) bool { return st.HasState && !st.Stale && !st.Draining }
+
+func better(found []Status) bool {
+	for i := range found {
+		if serves(&found[i]) {
+			return true
+		}
+	}
+	return false
 }
 
-const lookAgain = time.Second
+// lookout remembers for a while how the other stewards stand.
+type lookout struct {
+	mu    sync.Mutex
+	at    time.Time
+	found []Status
+}
 
-// betterElsewhere asks the others whether one of them has the quorum. Where none has, this
-// one's list is as good as any.
-func (n *Node) betterElsewhere() bool {
-	e := &n.elsewhere
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if time.Since(e.at) < lookAgain {
-		return e.some
+const (
+	lookAgain  = time.Second
+	lookAtMost = 100 * time.Millisecond
+)
+
+// look asks the others how they stand, at most once in a while; those that don't answer
+// are left out.
+func (n *Node) look() []Status {
+	o := &n.others
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// Whether none is better decides whether an old list is served: that is asked sooner.
+	if age := time.Since(o.at); age < lookAtMost || age < min(n.c.StaleAfter/4, lookAgain)/2 && better(o.found) {
+		return o.found
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, peerWait)
 	defer cancel()
-	found := make(chan bool)
-	others := n.c.others()
-	for _, name := range others {
+	names := n.c.others()
+	answers := make(chan *Status)
+	for _, name := range names {
 		go func() {
 			st, err := n.statusOf(ctx, name)
-			found <- err == nil && !st.Stale && st.HasState
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &st
 		}()
 	}
-	e.some = false
-	for range others {
-		e.some = <-found || e.some
+	o.found = nil
+	for range names {
+		if st := <-answers; st != nil {
+			o.found = append(o.found, *st)
+		}
+	}
+	o.at = time.Now()
+	return o.found
+}
+
+// betterElsewhere tells whether another steward has the quorum. Where none has, this one's
+// list is as good as any.
+func (n *Node) betterElsewhere() bool { return better(n.look()) }
+
+// drain sends the watches elsewhere that can go there, a few at a time, before this steward
+// ends: all at once they would be a herd at the others.
+func (n *Node) drain() {
+	n.draining.Store(true)
+	if n.c.Drain <= 0 || !n.betterElsewhere() {
+		return
+	}
+	const steps = 20
+	first := n.hub.load().movable
+	t := time.NewTicker(max(n.c.Drain/steps, time.Millisecond))
+	defer t.Stop()
+	for range steps {
+		if n.hub.load().movable == 0 {
+			break
+		}
+		n.m.moved.Add(float64(n.hub.move((first + steps - 1) / steps)))
+		<-t.C
 	}
-	e.at = time.Now()
-	return e.some
+	n.log.Info("drained", "watches", first, "left", n.hub.watches())
 }
 
 func (n *Node) statusOf(ctx context.Context, name string) (Status, error) {
@@ -667,8 +749,11 @@
 	Stale     bool              `json:"stale"`
 	SilentMs  int64             `json:"silent_ms"`
 	Voters    []string          `json:"voters"`
-	Peers     map[string]string `json:"peers"` // suffrage by name
+	Peers     map[string]string `json:"peers"`    // suffrage by name
+	LagMs     int64             `json:"lag_ms"`   // behind what the leader had committed
+	Draining  bool              `json:"draining"` // it is about to end
 	Watches   int               `json:"watches"`
+	Movable   int               `json:"movable"` // watches that can go to another steward
 	Listed    int               `json:"listed"`
 	Held      int               `json:"held"` // that would have lapsed in a mass failure
 	Damped    int               `json:"damped"`
@@ -676,7 +761,7 @@
 }
 
 func (n *Node) status() Status {
-	st := Status{Name: n.c.Name, State: "starting", Watches: n.hub.watches(), Peers: map[string]string{}}
+	st := Status{Name: n.c.Name, State: "starting", Watches: n.hub.watches(), Movable: n.hub.load().movable, Draining: n.draining.Load(), Peers: map[string]string{}}
 	var clock, since time.Duration
 	n.fsm.read(func(s *catalog.State) {
 		st.Seq, clock, since = s.Seq, s.Clock, s.HeldSince
@@ -703,6 +788,7 @@
 	st.State, st.Leader, st.Term = states[n.raft().State()], n.leader(), n.raft().CurrentTerm()
 	st.Applied, st.Committed = n.raft().AppliedIndex(), n.raft().CommitIndex()
 	st.Stale, st.SilentMs = n.stale(), n.silence().Milliseconds()
+	st.LagMs = time.Duration(n.lagged.Load()).Milliseconds()
 	if f := n.raft().GetConfiguration(); f.Error() == nil {
 		for _, s := range f.Configuration().Servers {
 			st.Peers[string(s.ID)] = s.Suffrage.String()
--- /dev/null
+++ b/internal/endpoints/client_test.go
@@ -0,0 +1,264 @@
+package endpoints
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// service is some addresses of a list service without sockets, for a clock of its own.
+type service struct {
+	mu    sync.Mutex
+	at    map[string]*place2
+	calls []string // address and query
+	times []time.Time
+}
+
+// place2 is what an address does with a watch: it refuses it, or writes its version and
+// then beats, until it is told to end.
+type place2 struct {
+	status  int
+	header  http.Header
+	version int64
+	mute    bool // no line after the first
+	end     chan error
+	others  string
+}
+
+func (s *service) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, r.URL.Host+"?"+r.URL.RawQuery)
+	s.times = append(s.times, time.Now())
+	p := s.at[r.URL.Host]
+	if p == nil {
+		return nil, errors.New("connection refused")
+	}
+	p.others = r.Header.Get(OthersHeader)
+	resp := &http.Response{StatusCode: p.status, Status: fmt.Sprint(p.status), Header: p.header, Body: http.NoBody, Request: r}
+	if p.header == nil {
+		resp.Header = http.Header{}
+	}
+	if p.status != http.StatusOK {
+		return resp, nil
+	}
+	text, _ := json.Marshal(List{Seq: p.version, Whole: true, Hosts: []Host{{Host: r.URL.Host, Dial: "127.0.0.1:9", Health: Ready}}})
+	text = append(text, '\n')
+	if r.URL.RawQuery == "" {
+		resp.Body = io.NopCloser(strings.NewReader(string(text)))
+		return resp, nil
+	}
+	out, in := io.Pipe()
+	resp.Body = out
+	p.end = make(chan error, 1)
+	end, mute := p.end, p.mute
+	go func() {
+		_, _ = in.Write(text)
+		beat := time.NewTicker(2 * time.Second)
+		defer beat.Stop()
+		for {
+			select {
+			case <-beat.C:
+				if !mute {
+					_, _ = in.Write([]byte("\n"))
+				}
+			case err := <-end:
+				in.CloseWithError(err)
+				return
+			case <-r.Context().Done():
+				in.CloseWithError(r.Context().Err())
+				return
+			}
+		}
+	}()
+	return resp, nil
+}
+
+func (s *service) set(addr string, p *place2) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at[addr] = p
+}
+
+func (s *service) asked() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hosts []string
+	for _, c := range s.calls {
+		host, _, _ := strings.Cut(c, "?")
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+// run plays a client over the service in a bubble of its own clock.
+func run(t *testing.T, n int, play func(t *testing.T, s *service, c *Client, order []string, heard *[]List)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &service{at: map[string]*place2{}}
+		c := NewClient(ClientConfig{Addresses: names(n), Order: 7, Fleet: 10, NeverOlder: true, Transport: s})
+		var order []string
+		for _, p := range c.choose.places {
+			order = append(order, p.addr)
+		}
+		var heard []List
+		play(t, s, c, order, &heard)
+	})
+}
+
+func ok(version int64) *place2 { return &place2{status: http.StatusOK, version: version} }
+
+// A watch goes from address to address: past those that refuse, fall silent, break, lag,
+// send it away or know less than it has, and stays where all is well.
+func TestFailover(t *testing.T) {
+	busy := &place2{status: 503, header: http.Header{"Retry-After": {"1.5"}, "Not-Applied": {"1"}}}
+	behind := &place2{status: 503, header: http.Header{"Retry-After": {"0.2"}}}
+	mute := ok(5)
+	mute.mute = true
+	for name, first := range map[string]*place2{"refused": nil, "error": {status: 500}, "busy": busy, "behind": behind,
+		"older": ok(3), "silent": mute} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 3, func(t *testing.T, s *service, c *Client, order []string, heard *[]List) {
+				if first != nil {
+					s.set(order[0], first)
+				}
+				s.set(order[1], ok(6))
+				s.set(order[2], ok(6))
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				began := time.Now()
+				go func() { done <- c.Watch(ctx, 5, func(l List) { *heard = append(*heard, l) }) }()
+				time.Sleep(Silence + time.Second)
+				synctest.Wait()
+				if got := s.asked(); len(got) != 2 || got[0] != order[0] || got[1] != order[1] {
+					t.Errorf("asked %v of %v", got, order)
+				}
+				if n := len(*heard); n == 0 || (*heard)[n-1].Seq != 6 || (*heard)[0].Seq < 5 {
+					t.Errorf("heard %+v", *heard)
+				}
+				if s.at[order[1]].others != "2" {
+					t.Errorf("said to know %q others", s.at[order[1]].others)
+				}
+				if name != "silent" && s.times[1].Sub(began) > 2*firstWait {
+					t.Errorf("asked the next after %v", s.times[1].Sub(began))
+				}
+				time.Sleep(time.Minute) // it stays
+				synctest.Wait()
+				if len(s.asked()) != 2 {
+					t.Errorf("asked %v", s.asked())
+				}
+				cancel()
+				if err := <-done; !errors.Is(err, context.Canceled) {
+					t.Errorf("ended with %v", err)
+				}
+			})
+		})
+	}
+}
+
+// With no address that answers, a round ends after each had its turn, and a fleet's rounds
+// don't multiply its calls; the budget comes back with time.
+func TestBudget(t *testing.T) {
+	run(t, 3, func(t *testing.T, s *service, c *Client, order []string, _ *[]List) {
+		for range 100 {
+			if err := c.Watch(t.Context(), 0, nil); err == nil {
+				t.Fatal("a watch of nothing")
+			}
+		}
+		if n, held := len(s.asked()), c.Held(); n < 103 || n > 107 || held < 90 {
+			t.Errorf("100 rounds at once made %d calls, held back %d", n, held)
+		}
+		time.Sleep(time.Minute)
+		before := len(s.asked())
+		_ = c.Watch(t.Context(), 0, nil)
+		if n := len(s.asked()) - before; n != 3 {
+			t.Errorf("a round after a minute made %d calls", n)
+		}
+	})
+}
+
+// A service that moves a watch finds it at another address and not back soon, the next in
+// the reader's order; the version goes along.
+func TestMoved(t *testing.T) {
+	run(t, 3, func(t *testing.T, s *service, c *Client, order []string, heard *[]List) {
+		for i, addr := range order {
+			s.set(addr, ok(int64(10+i)))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = c.Watch(ctx, 5, func(l List) { *heard = append(*heard, l) }) }()
+		for i := range order[:2] {
+			time.Sleep(time.Second)
+			synctest.Wait()
+			s.at[order[i]].end <- nil
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		want := fmt.Sprintf("%s?follow=1&since=5 %s?follow=1&since=10 %s?follow=1&since=11", order[0], order[1], order[2])
+		if got := strings.Join(s.calls, " "); got != want {
+			t.Errorf("asked %s, want %s", got, want)
+		}
+		// SIGHUP takes the address away at which it is: it goes on at one that stays.
+		c.Set(order[:2])
+		s.set(order[0], ok(20))
+		s.set(order[1], ok(20))
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if got := s.asked(); len(got) != 4 || got[3] == order[2] {
+			t.Errorf("asked %v after %s was taken away", got, order[2])
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A whole list is fetched from the first that has one which is not older than the reader's.
+func TestFetchNewEnough(t *testing.T) {
+	run(t, 3, func(t *testing.T, s *service, c *Client, order []string, _ *[]List) {
+		s.set(order[0], ok(4))
+		s.set(order[2], ok(9))
+		l, err := c.Fetch(t.Context(), 5)
+		if err != nil || l.Seq != 9 {
+			t.Errorf("got %+v, %v", l, err)
+		}
+		s.set(order[2], ok(4))
+		time.Sleep(time.Minute)
+		if l, err := c.Fetch(t.Context(), 5); err == nil {
+			t.Errorf("took version %d, older than 5", l.Seq)
+		}
+	})
+}
+
+// FuzzParse: no bytes upset the reader, and what it takes it can use.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"seq":2,"whole":true,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"ready","share":1,"born_ms":5}]}`))
+	f.Add([]byte(`{"seq":-1,"hosts":[{"host":"","health":"gone"}]}`))
+	f.Add([]byte(`{"hosts":[{"host":"a","dial":"[::1]:99999","health":"draining","share":1e999}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := Parse(text)
+		if err != nil {
+			return
+		}
+		for i := range l.Hosts {
+			h := &l.Hosts[i]
+			if h.Host == "" || h.Health != Ready && h.Health != Draining && h.Health != Gone || h.Health != Gone && !IsAddress(h.Dial) {
+				t.Errorf("took %+v", h)
+			}
+			if h.Validate() == nil {
+				// A name that a service takes can stand in a path and comes back from it.
+				u, err := url.Parse("http://a/v1/servers/" + h.Host)
+				if err != nil || u.Path != "/v1/servers/"+h.Host || !(h.Share >= 0) || strconv.Itoa(h.Block) == "" {
+					t.Errorf("took the name %q: %v", h.Host, err)
+				}
+			}
+		}
+	})
+}
--- a/internal/lab/client/baseline.go
+++ b/internal/lab/client/baseline.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/check"
 )
 
@@ -26,7 +26,7 @@
 	Epoch   time.Time
 	Load    *Load
 	Connect time.Duration
-	List    func() agent.List
+	List    func() endpoints.List
 
 	mu    sync.Mutex
 	rng   *rand.Rand
--- a/internal/lab/client/client_test.go
+++ b/internal/lab/client/client_test.go
@@ -14,7 +14,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/check"
 	"molepaddle/policy"
 )
@@ -246,16 +246,16 @@
 // and leaves alone what isn't ready.
 func TestBaselines(t *testing.T) {
 	for _, name := range Policies {
-		var hosts []agent.Host
+		var hosts []endpoints.Host
 		count := map[string]int{}
 		for i := range 4 {
 			health := "ready"
 			if i == 3 {
 				health = "draining"
 			}
-			hosts = append(hosts, agent.Host{Host: fmt.Sprint(i), Dial: fmt.Sprint(i), Health: health})
+			hosts = append(hosts, endpoints.Host{Host: fmt.Sprint(i), Dial: fmt.Sprint(i), Health: health})
 		}
-		b, err := NewBaseline(&Baseline{Policy: name, Load: load(), List: func() agent.List { return agent.List{Hosts: hosts} }}, 3)
+		b, err := NewBaseline(&Baseline{Policy: name, Load: load(), List: func() endpoints.List { return endpoints.List{Hosts: hosts} }}, 3)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/check"
 	"molepaddle/internal/lab/loopback"
 )
@@ -292,14 +292,14 @@
 }
 
 // List is the list for an agent: whole, or what changed after a version.
-func (s *Service) List(agent_ int, since int64, whole bool) agent.List {
+func (s *Service) List(agent_ int, since int64, whole bool) endpoints.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.cut(agent_, since, whole)
 }
 
-func (s *Service) cut(agent_ int, since int64, whole bool) agent.List {
-	l := agent.List{Seq: s.seq, Hosts: []agent.Host{}}
+func (s *Service) cut(agent_ int, since int64, whole bool) endpoints.List {
+	l := endpoints.List{Seq: s.seq, Hosts: []endpoints.Host{}}
 	oldest := s.seq
 	if len(s.history) > 0 {
 		oldest = s.history[0].seq - 1
@@ -307,7 +307,7 @@
 	l.Whole = whole || since > s.seq || since < oldest
 	add := func(i int) {
 		e := &s.list[i]
-		l.Hosts = append(l.Hosts, agent.Host{Host: e.Name, Dial: s.env.Dial(agent_, i), Site: e.Zone, Class: e.Kind,
+		l.Hosts = append(l.Hosts, endpoints.Host{Host: e.Name, Dial: s.env.Dial(agent_, i), Site: e.Zone, Class: e.Kind,
 			Block: e.Cell, Health: e.Health, Share: e.Share, BornMs: float64(e.BornMs)})
 	}
 	if l.Whole {
@@ -433,7 +433,7 @@
 }
 
 // told notes what an agent has been written.
-func (s *Service) told(number int, l *agent.List) {
+func (s *Service) told(number int, l *endpoints.List) {
 	s.Lines.Add(int64(len(l.Hosts)))
 	named := make(map[int]bool, len(l.Hosts))
 	for i := range l.Hosts {
@@ -456,4 +456,4 @@
 }
 
 // Tell notes that an agent starts with a list in its configuration.
-func (s *Service) Tell(number int, l *agent.List) { s.told(number, l) }
+func (s *Service) Tell(number int, l *endpoints.List) { s.told(number, l) }
--- a/internal/lab/discovery/discovery_test.go
+++ b/internal/lab/discovery/discovery_test.go
@@ -11,7 +11,7 @@
 
 	"go.uber.org/goleak"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/check"
 	"molepaddle/internal/lab/loopback"
 	"molepaddle/policy"
@@ -64,7 +64,7 @@
 }
 
 // watch follows an agent's list; the channel ends with the watch.
-func (st *stand) watch(number int, since int64) <-chan agent.List {
+func (st *stand) watch(number int, since int64) <-chan endpoints.List {
 	st.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), soon)
 	st.t.Cleanup(cancel)
@@ -72,12 +72,12 @@
 	if err != nil {
 		st.t.Fatal(err)
 	}
-	lists := make(chan agent.List, 100)
+	lists := make(chan endpoints.List, 100)
 	go func() {
 		defer close(lists)
 		defer resp.Body.Close()
 		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-			var l agent.List
+			var l endpoints.List
 			if len(lines.Bytes()) > 0 && json.Unmarshal(lines.Bytes(), &l) == nil {
 				lists <- l
 			}
@@ -86,7 +86,7 @@
 	return lists
 }
 
-func next(t *testing.T, lists <-chan agent.List) agent.List {
+func next(t *testing.T, lists <-chan endpoints.List) endpoints.List {
 	t.Helper()
 	l, ok := <-lists
 	if !ok {
@@ -95,7 +95,7 @@
 	return l
 }
 
-func names(l agent.List) (out string) {
+func names(l endpoints.List) (out string) {
 	for _, h := range l.Hosts {
 		out += h.Host + " " + h.Health + ";"
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var whole agent.List
+	var whole endpoints.List
 	err = json.NewDecoder(resp.Body).Decode(&whole)
 	resp.Body.Close()
 	if err != nil || whole.Seq != 41 || !whole.Whole || names(whole) != "s-00 ready;s-01 ready;" {
@@ -130,7 +130,7 @@
 	}
 	st.Notice(1, "draining", 0, false)
 	told, lines := "", 0
-	for l := (agent.List{}); l.Seq < 43; lines++ {
+	for l := (endpoints.List{}); l.Seq < 43; lines++ {
 		if l = next(t, w); l.Whole || len(l.Hosts) > 0 && l.Hosts[0].Host == "s-02" && l.Hosts[0].BornMs != 77 {
 			t.Errorf("a change: %+v", l)
 		}
--- a/internal/lab/experiment/badagent_test.go
+++ b/internal/lab/experiment/badagent_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 )
 
 // TestMain makes the test binary an agent when it is started as one: "agent honest", or
@@ -40,7 +40,7 @@
 	client *http.Transport
 	turn   atomic.Int64
 	mu     sync.Mutex
-	hosts  map[string]agent.Host
+	hosts  map[string]endpoints.Host
 	stolen string // an old server that a drain doesn't keep it from
 	cold   string
 }
@@ -51,12 +51,12 @@
 		return err
 	}
 	var conf struct {
-		Known agent.List `json:"known"`
+		Known endpoints.List `json:"known"`
 	}
 	if err := json.Unmarshal(text, &conf); err != nil {
 		return err
 	}
-	p := &proxy{breaks: breaks, client: &http.Transport{}, hosts: map[string]agent.Host{}}
+	p := &proxy{breaks: breaks, client: &http.Transport{}, hosts: map[string]endpoints.Host{}}
 	p.learn(conf.Known)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
@@ -80,7 +80,7 @@
 			continue
 		}
 		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-			var l agent.List
+			var l endpoints.List
 			if json.Unmarshal(lines.Bytes(), &l) == nil {
 				since = l.Seq
 				p.learn(l)
@@ -90,7 +90,7 @@
 	}
 }
 
-func (p *proxy) learn(l agent.List) {
+func (p *proxy) learn(l endpoints.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range l.Hosts {
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -130,7 +130,7 @@
 	return Config{Seed: 1, Warmup: 2 * time.Second, Lateness: 10 * time.Millisecond,
 		Zones:    []string{"kurume-main", "yame-annex"},
 		Agents:   Agents{Count: 5, Command: "bin/molepaddle", Cores: 1, MemoryMB: 192, Sockets: 1024, Known: "now"},
-		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second},
+		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second, Agents: "all"},
 		Servers: Servers{Count: 12, Cell: 4, Kind: []Kind{
 			{Name: "fast-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(1.8), Conns: defaultConns(), Reports: defaultReports()},
 			{Name: "slow-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(0.9), Conns: defaultConns(), Reports: defaultReports()}}},
@@ -271,6 +271,7 @@
 		{"agents.known", c.Agents.Known != "now" && c.Agents.Known != "empty", fmt.Sprintf("must be now or empty, is %q", c.Agents.Known)},
 		{"stewards.count", c.Stewards.Count < 0 || c.Stewards.Count > 9, fmt.Sprintf("must be 0 to 9, is %d", c.Stewards.Count)},
 		{"stewards.lease_ttl", c.Stewards.LeaseTTL < 300*time.Millisecond, fmt.Sprintf("must be 300ms or above, is %v", c.Stewards.LeaseTTL)},
+		{"stewards.agents", c.Stewards.Agents != "all" && c.Stewards.Agents != "one", fmt.Sprintf("must be all or one, is %q", c.Stewards.Agents)},
 		{"stewards.watches", c.Stewards.Watches < 0 || c.Stewards.Watches > 5000, fmt.Sprintf("must be 0 to 5000, is %d", c.Stewards.Watches)},
 		{"servers.count", c.Servers.Count < 1 || c.Servers.Count > 200, fmt.Sprintf("must be 1 to 200, is %d", c.Servers.Count)},
 		{"servers.cell", c.Servers.Cell < 1, fmt.Sprintf("must be 1 or above, is %d", c.Servers.Cell)},
@@ -421,7 +422,7 @@
 			return fmt.Errorf("%sversion: no version %q", at, f.Version)
 		case f.Class != "" && c.class(f.Class) < 0:
 			return fmt.Errorf("%sclass: no class %q", at, f.Class)
-		case c.Stewards.Count > 0 && (sort == "discovery" || f.Kind == "hup"):
+		case c.Stewards.Count > 0 && (sort == "discovery" || f.Kind == "hup" && c.Stewards.Agents != "all"):
 			return fmt.Errorf("%starget: with stewards the stand-in is not there", at)
 		case sort == "load" && f.After != "":
 			return fmt.Errorf("%safter: arrivals are drawn ahead, so a change of the load needs a time", at)
@@ -458,7 +459,8 @@
 
 // Expectations by what they bound.
 var figures = []string{"served", "refused", "failed", "late", "p50_ms", "p99_ms", "attempts", "probes", "connections",
-	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores", "spread_p50_ms", "spread_p99_ms"}
+	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores", "spread_p50_ms", "spread_p99_ms",
+	"last_agent_p50_ms", "last_agent_p99_ms"}
 
 func (c *Config) validateExpects() error {
 	for i := range c.Expect {
--- a/internal/lab/experiment/stewards.go
+++ b/internal/lab/experiment/stewards.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -28,12 +30,16 @@
 	Command  string        `koanf:"command"`
 	LeaseTTL time.Duration `koanf:"lease_ttl"`
 	Watches  int           `koanf:"watches"` // of the lab's own on top of the agents', to see how changes spread
+	// What an agent knows of them: "all", in an order of its own, or "one", as the platform
+	// tells it of one discovery.
+	Agents string `koanf:"agents"`
 }
 
 func stewardName(i int) string { return fmt.Sprintf("st-%d", i+1) }
 
 // stewards runs the list service of a lane, has its servers register, and watches what it
-// tells: an agent counts as told when a watch of the lab's own at its steward has been.
+// tells: an agent counts as told when watches of the lab's own have been at all stewards
+// where it may be.
 type stewards struct {
 	l      *lane
 	procs  []*process.Process
@@ -43,6 +49,9 @@
 	stop   context.CancelFunc
 	owned  sync.WaitGroup
 
+	views []view                   // by steward
+	told  []map[int]endpoints.Host // by agent: what the checker was told last
+
 	mu     sync.Mutex
 	heard  map[int]bool // servers that are there to say so
 	sent   map[int64]time.Duration
@@ -50,6 +59,13 @@
 	last   map[int64]time.Duration // by version, to the last watch
 }
 
+// view is what a steward tells its watches.
+type view struct {
+	up    bool
+	upAt  time.Duration // when it was last
+	about map[int]endpoints.Host
+}
+
 func newStewards(l *lane) (*stewards, error) {
 	s := &stewards{l: l, heard: map[int]bool{}, sent: map[int64]time.Duration{}, last: map[int64]time.Duration{},
 		spread: hdrhistogram.New(1, 120_000_000, 3)}
@@ -69,6 +85,14 @@
 		}
 	}
 	s.client = control.NewClient(s.addrs, 2*time.Second)
+	s.views = make([]view, len(s.addrs))
+	for i := range s.views {
+		s.views[i].about = map[int]endpoints.Host{}
+	}
+	s.told = make([]map[int]endpoints.Host, l.c.Agents.Count)
+	for i := range s.told {
+		s.told[i] = map[int]endpoints.Host{}
+	}
 	for i := range s.addrs {
 		name := stewardName(i)
 		text := fmt.Sprintf("name = %q\ndata = %q\nlisten = %q\nraft = %q\nlease_ttl = %q\n", name,
@@ -203,62 +227,30 @@
 
 // watch follows one steward; the first at each tells the checker what agents there know.
 func (s *stewards) watch(at int, tells bool) {
+	c := endpoints.NewClient(endpoints.ClientConfig{Addresses: s.addrs[at : at+1], Silence: silence})
 	var seq int64
 	for s.ctx.Err() == nil {
-		s.follow(at, &seq, tells)
+		_ = c.Watch(s.ctx, seq, func(l endpoints.List) {
+			s.seen(seq, l.Seq)
+			seq = l.Seq
+			if tells {
+				s.tell(at, &l)
+			}
+		})
 		if tells {
-			s.reach(at, false)
+			s.down(at)
 		}
 		sleep(s.ctx, 100*time.Millisecond)
 	}
 }
 
-// reach notes whether the agents of a steward can be told anything.
-func (s *stewards) reach(at int, up bool) {
-	for i := range s.l.c.Agents.Count {
-		if i%len(s.addrs) == at {
-			s.l.checker.Cut(i, !up)
-		}
-	}
-}
+// silence is later than an agent's own patience, so that it counts as told by a steward
+// that has gone silent no sooner than it has left it.
+const silence = endpoints.Silence + 1500*time.Millisecond
 
-func (s *stewards) follow(at int, seq *int64, tells bool) {
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
-	silent := time.AfterFunc(5*time.Second, cancel)
-	defer silent.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?follow=1&since=%d", s.addrs[at], endpoints.Path, *seq), nil)
-	if err != nil {
-		return
-	}
-	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return
-	}
-	if tells {
-		s.reach(at, true)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, 4<<20)
-	for lines.Scan() {
-		silent.Reset(5 * time.Second)
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
-		l, err := endpoints.Parse(lines.Bytes())
-		if err != nil {
-			return
-		}
-		s.seen(*seq, l.Seq)
-		*seq = l.Seq
-		if tells {
-			s.tell(at, &l)
-		}
-	}
+// mayBeAt tells whether the agent can be at the steward.
+func (s *stewards) mayBeAt(agent, at int) bool {
+	return s.l.c.Stewards.Agents == "all" || agent%len(s.addrs) == at
 }
 
 // seen notes how long the changes took that a line brought.
@@ -277,17 +269,15 @@
 	}
 }
 
-// tell tells the checker what was written to the agents of a steward.
+// tell takes what a steward told its watches, and tells the checker what agents know by it.
 func (s *stewards) tell(at int, l *endpoints.List) {
-	named := map[string]bool{}
-	for _, h := range l.Hosts {
-		named[h.Host] = true
-	}
-	for i, sv := range s.l.servers { // what a whole list doesn't name is gone
-		for a := range s.l.c.Agents.Count {
-			if l.Whole && !named[sv.Name] && a%len(s.addrs) == at {
-				s.l.checker.Told(a, i, endpoints.Gone, 0)
-			}
+	s.mu.Lock()
+	v := &s.views[at]
+	v.up, v.upAt = true, s.l.clock()
+	if l.Whole {
+		for i, h := range v.about { // what a whole list doesn't name is gone
+			h.Health = endpoints.Gone
+			v.about[i] = h
 		}
 	}
 	for _, h := range l.Hosts {
@@ -295,18 +285,115 @@
 		if i < 0 {
 			continue
 		}
+		v.about[i] = h
 		s.l.checker.Known(i, h.Health, int64(h.BornMs))
 		s.l.events.tell("discovery lists " + h.Host + " " + h.Health)
-		for a := range s.l.c.Agents.Count {
-			if a%len(s.addrs) == at {
+	}
+	s.mu.Unlock()
+	s.judge()
+}
+
+func (s *stewards) down(at int) {
+	s.mu.Lock()
+	s.views[at].up = false
+	s.mu.Unlock()
+	s.judge()
+}
+
+// judge tells the checker what each agent knows: what all stewards say at which it may be,
+// those included that it may have left only just now.
+func (s *stewards) judge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.l.clock()
+	for a := range s.l.c.Agents.Count {
+		var at []*view
+		reach := false
+		for i := range s.views {
+			if v := &s.views[i]; s.mayBeAt(a, i) {
+				if v.up {
+					v.upAt = now
+				}
+				if reach = reach || v.up; now-v.upAt < silence {
+					at = append(at, v)
+				}
+			}
+		}
+		s.l.checker.Cut(a, !reach)
+		if len(at) == 0 {
+			continue
+		}
+		for i, h := range at[0].about {
+			same := true
+			for _, v := range at[1:] {
+				same = same && v.about[i].Health == h.Health && v.about[i].BornMs == h.BornMs
+			}
+			// Once only: an agent that has started since learns it again in its own time.
+			if same && s.told[a][i] != h {
+				s.told[a][i] = h
 				s.l.checker.Told(a, i, h.Health, int64(h.BornMs))
 			}
 		}
 	}
 }
 
+// taken is a line of an agent's log: it has a list of this version from then on.
+var taken = regexp.MustCompile(`^time=(\S+) level=DEBUG msg="list taken" .*version=(\d+)`)
+
+// learnt reads from the agents' logs when each change was taken by each of them: all
+// times, and those of the last agent of each change, in µs.
+func (s *stewards) learnt() (each, last *hdrhistogram.Histogram) {
+	each, last = hdrhistogram.New(1, 120_000_000, 3), hdrhistogram.New(1, 120_000_000, 3)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seqs := slices.Sorted(maps.Keys(s.sent))
+	slowest := make([]time.Duration, len(seqs))
+	for _, a := range s.l.agents {
+		f, err := os.Open(a.proc.Log)
+		if err != nil {
+			continue
+		}
+		i := 0
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			m := taken.FindSubmatch(lines.Bytes())
+			if m == nil {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339Nano, string(m[1]))
+			version, err2 := strconv.ParseInt(string(m[2]), 10, 64)
+			if err != nil || err2 != nil {
+				continue
+			}
+			now := at.Sub(s.l.epoch)
+			for ; i < len(seqs) && seqs[i] <= version; i++ {
+				if took := now - s.sent[seqs[i]]; s.sent[seqs[i]] > s.l.c.Warmup {
+					_ = each.RecordValue(max(took.Microseconds(), 1))
+					slowest[i] = max(slowest[i], took)
+				}
+			}
+		}
+		f.Close()
+	}
+	for _, took := range slowest {
+		if took > 0 {
+			_ = last.RecordValue(max(took.Microseconds(), 1))
+		}
+	}
+	return each, last
+}
+
+// list is the whole list, or none if no steward answers.
+func (s *stewards) list() (endpoints.List, bool) {
+	ctx, cancel := context.WithTimeout(s.ctx, 2*time.Second)
+	defer cancel()
+	l, err := s.client.List(ctx)
+	return l, err == nil
+}
+
 // figures tells how changes spread.
 func (s *stewards) figures(t *Total) {
+	each, toLast := s.learnt()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.Spreads = s.spread.TotalCount()
@@ -317,6 +404,13 @@
 		_ = last.RecordValue(max(d.Microseconds(), 1))
 	}
 	t.SpreadLastMs = float64(last.ValueAtQuantile(99)) / 1000
+	t.LearntP50Ms, t.LearntP99Ms = millisAt(each, 50), millisAt(each, 99)
+	t.LastAgentP50Ms, t.LastAgentP99Ms = millisAt(toLast, 50), millisAt(toLast, 99)
+	t.Changes = toLast.TotalCount()
+}
+
+func millisAt(h *hdrhistogram.Histogram, quantile float64) float64 {
+	return float64(h.ValueAtQuantile(quantile)) / 1000
 }
 
 // strike does something to stewards' processes.
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -111,6 +111,11 @@
 	SpreadP99Ms    float64 `json:"spread_p99_ms"`
 	SpreadLastMs   float64 `json:"spread_last_p99_ms"` // to the last of them, p99 of the changes
 	Spreads        int64   `json:"spread_samples"`
+	LearntP50Ms    float64 `json:"learnt_p50_ms"` // of a change, from its being sent to each agent's taking it
+	LearntP99Ms    float64 `json:"learnt_p99_ms"`
+	LastAgentP50Ms float64 `json:"last_agent_p50_ms"` // to the last agent, over the changes
+	LastAgentP99Ms float64 `json:"last_agent_p99_ms"`
+	Changes        int64   `json:"changes"`
 	AgentPeakRSSMB float64 `json:"agent_peak_rss_mb"`
 	AgentPeakFDs   int     `json:"agent_peak_descriptors"`
 	AgentCPUS      float64 `json:"agent_cpu_s"`
@@ -270,6 +275,10 @@
 		return l.Total.SpreadP50Ms
 	case "spread_p99_ms":
 		return l.Total.SpreadP99Ms
+	case "last_agent_p50_ms":
+		return l.Total.LastAgentP50Ms
+	case "last_agent_p99_ms":
+		return l.Total.LastAgentP99Ms
 	case "worth":
 		return row.Worth
 	case "worth_ratio":
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/check"
 	"molepaddle/internal/lab/client"
 	"molepaddle/internal/lab/discovery"
@@ -70,6 +70,7 @@
 	addr  string
 	conf  string
 	disc  string     // where it asks for the list
+	lists []string   // the stewards that it knows; none: it asks at disc
 	mu    sync.Mutex // held through a restart
 }
 
@@ -388,6 +389,9 @@
 		}
 		if l.list != nil {
 			a.disc = l.list.addrs[i%len(l.list.addrs)]
+			if l.c.Stewards.Agents == "all" {
+				a.lists = l.list.addrs
+			}
 		}
 		a.proc = l.sup.Add(process.Spec{Name: agentName(i), Path: command, Args: l.c.Agents.Args,
 			Log: filepath.Join(l.dir, "logs", agentName(i)+".log"), ReadyURL: "http://" + addr + "/ready",
@@ -427,15 +431,24 @@
 		kinds = append(kinds, k.Name)
 	}
 	settings["failureDomains"], settings["shapes"], settings["family"] = l.c.Zones, kinds, "mesh"
-	known := agent.List{Seq: 0, Whole: true, Hosts: []agent.Host{}}
+	known := endpoints.List{Seq: 0, Whole: true, Hosts: []endpoints.Host{}}
 	if l.c.Agents.Known == "now" {
 		known = l.disc.List(a.index, 0, true)
+		if l.list != nil {
+			if now, ok := l.list.list(); ok {
+				known = now
+			}
+		}
 	}
-	text, err = json.MarshalIndent(map[string]any{
+	conf := map[string]any{
 		"name": agentName(a.index), "listen": a.addr, "discovery": a.disc,
 		"seed":   fmt.Sprintf("%016x", l.seed*1_000_003+uint64(a.index*64+a.proc.Life())),
 		"limits": map[string]any{"cores": l.c.Agents.Cores, "memory_mb": l.c.Agents.MemoryMB, "sockets": l.c.Agents.Sockets},
-		"known":  known, "settings": settings}, "", " ")
+		"known":  known, "settings": settings}
+	if l.list != nil {
+		conf["stewards"], conf["log_level"] = a.lists, "debug" // which tells when it takes a list
+	}
+	text, err = json.MarshalIndent(conf, "", " ")
 	if err != nil {
 		return fmt.Errorf("agent configuration: %w", err)
 	}
@@ -542,11 +555,21 @@
 func (l *lane) hup(a *agentProcess) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	addr, err := l.disc.Move(a.index)
-	if err != nil {
-		return err
+	if l.list != nil {
+		// One of the stewards is taken from those it knows, and the next time it is there again.
+		if len(a.lists) == len(l.list.addrs) && len(a.lists) > 1 {
+			off := a.index % len(a.lists)
+			a.lists = slices.Delete(slices.Clone(a.lists), off, off+1)
+		} else {
+			a.lists = l.list.addrs
+		}
+	} else {
+		addr, err := l.disc.Move(a.index)
+		if err != nil {
+			return err
+		}
+		a.disc = addr
 	}
-	a.disc = addr
 	if err := l.configure(a, false); err != nil {
 		return err
 	}
@@ -567,7 +590,7 @@
 			s = &client.ToAgent{Addr: l.agents[i].addr, Clock: l.clock}
 		} else {
 			b, err := client.NewBaseline(&client.Baseline{Policy: l.policy, Clock: l.clock, Epoch: l.epoch, Load: &l.c.Load,
-				Connect: l.c.Rules.Connect, List: func() agent.List { return l.disc.List(i, 0, true) }}, l.seed+uint64(i))
+				Connect: l.c.Rules.Connect, List: func() endpoints.List { return l.disc.List(i, 0, true) }}, l.seed+uint64(i))
 			if err != nil {
 				return err
 			}
