--- a/cmd/steward/bench_test.go
+++ b/cmd/steward/bench_test.go
@@ -180,3 +180,91 @@
 		b.Errorf("it complains: %s", text[max(0, len(text)-500):])
 	}
 }
+
+// BenchmarkHandOver kills the holder of a duty with a lease of 3 s again and again, and
+// measures the time until another acts under it; then it moves it as planned, and measures
+// the gap between the two holders' acts.
+func BenchmarkHandOver(b *testing.B) {
+	f := newFleet(b, 3)
+	c := f.crew(6, 10)
+	const kills, moves = 40, 100
+	c.define("work.a", 3*time.Second)
+	a := c.acted("work.a", "", 0)
+	var took []time.Duration
+	for range kills {
+		c.kill(a.Process)
+		died := c.acts.Last("work.a").Mono
+		next := c.acted("work.a", a.Process, 0)
+		took = append(took, next.Mono-died)
+		c.start(a.Process)
+		a = next
+		time.Sleep(2500 * time.Millisecond) // or its next end would be blamed on the duty
+	}
+	report(b, "after-kill", took)
+	before := len(c.acts.Judge().Gaps)
+	for range moves {
+		if err := c.order("work.a", "move", ""); err == nil {
+			a = c.acted("work.a", a.Process, 0)
+		}
+	}
+	v := c.acts.Judge()
+	report(b, "planned-gap", v.Gaps[before:])
+	if len(v.Broke) > 0 {
+		b.Errorf("%d overlaps: %s", len(v.Broke), v.Broke[0])
+	}
+}
+
+// BenchmarkDuties defines many duties for nine processes and measures, once all are held,
+// what the leader writes and uses while nothing happens, and how long it takes until all
+// are held again after a death.
+func BenchmarkDuties(b *testing.B) {
+	for _, n := range []int{1000, 5000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			f := newFleet(b, 3)
+			c := f.crew(9, 2000)
+			var all sync.WaitGroup
+			for part := range 16 {
+				all.Add(1)
+				go func() {
+					defer all.Done()
+					for i := part; i < n; i += 16 {
+						c.define(fmt.Sprint("idle.", i), 3*time.Second)
+					}
+				}()
+			}
+			all.Wait()
+			free := func() int {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				ds, err := f.client(f.leader()).Duties(ctx)
+				if err != nil {
+					return n
+				}
+				count := 0
+				for i := range ds {
+					if ds[i].Holder == "" {
+						count++
+					}
+				}
+				return count
+			}
+			f.until("all are held", func() bool { return free() == 0 })
+			time.Sleep(15 * time.Second) // evened out
+			lead := f.leader()
+			st, _ := f.status(lead)
+			cpu, _ := f.usage(lead)
+			const rest = 10 * time.Second
+			time.Sleep(rest)
+			after, _ := f.status(lead)
+			to, rss := f.usage(lead)
+			b.ReportMetric(float64(after.Applied-st.Applied)/rest.Seconds(), "log-entries/s")
+			b.ReportMetric(float64(to-cpu)/float64(rest), "cores-of-the-leader")
+			b.ReportMetric(rss, "MB-of-the-leader")
+			began := time.Now()
+			c.kill("w-1")
+			f.until("its duties are free", func() bool { return free() > 0 })
+			f.until("all are held again", func() bool { return free() == 0 })
+			b.ReportMetric(time.Since(began).Seconds(), "s-until-all-are-held")
+		})
+	}
+}
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -30,6 +30,10 @@
 		main()
 		os.Exit(0)
 	}
+	if os.Getenv("WORKER_CHILD") == "1" {
+		workerMain()
+		os.Exit(0)
+	}
 	if os.Getenv("AGENT_CHILD") == "1" {
 		agentMain()
 		os.Exit(0)
--- a/cmd/steward/main.go
+++ b/cmd/steward/main.go
@@ -41,7 +41,7 @@
 	root.PersistentFlags().StringSliceVar(&at, "at", []string{"127.0.0.1:8500"}, "HTTP addresses of stewards, the first that answers is asked")
 	client := func() *control.Client { return control.NewClient(at, callWait) }
 	root.AddCommand(serveCommand(), statusCommand(out, client), serversCommand(out, client), snapshotCommand(out, client),
-		peerCommand(out, client), confirmCommand(out, client))
+		peerCommand(out, client), confirmCommand(out, client), dutiesCommand(out, client))
 	return root
 }
 
@@ -221,17 +221,7 @@
 			if err != nil {
 				return err
 			}
-			// Whole or not at all, and on the disk before it is called saved.
-			f, err := os.OpenFile(args[0]+".part", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-			if err != nil {
-				return fmt.Errorf("snapshot: %w", err)
-			}
-			_, err = f.Write(text)
-			err = errors.Join(err, f.Sync(), f.Close())
-			if err == nil {
-				err = os.Rename(args[0]+".part", args[0])
-			}
-			if err != nil {
+			if err := control.WriteWhole(args[0], text); err != nil {
 				return fmt.Errorf("snapshot: %w", err)
 			}
 			fmt.Fprintf(out, "%d bytes in %s\n", len(text), args[0])
--- a/cmd/steward/readers_test.go
+++ b/cmd/steward/readers_test.go
@@ -321,6 +321,7 @@
 		if err := os.RemoveAll(f.data(name)); err != nil {
 			t.Fatal(err)
 		}
+		f.all[name].proc.Env = append(f.all[name].proc.Env, "TEST_CLOCK=-11h") // whoever leads
 	}
 	for _, name := range f.names {
 		f.start(name)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -555,6 +555,40 @@
 	}
 }
 
+// lineCount counts the lines of a log.
+type lineCount struct {
+	slog.Handler
+	lines int
+	last  string
+}
+
+func (c *lineCount) Enabled(context.Context, slog.Level) bool { return true }
+
+func (c *lineCount) Handle(_ context.Context, r slog.Record) error {
+	c.lines++
+	c.last = ""
+	r.Attrs(func(a slog.Attr) bool { c.last += a.String() + " "; return true })
+	return nil
+}
+
+// However often discovery fails, the lines on it are few, and say how many were left out.
+func TestFewLines(t *testing.T) {
+	l := quietLoop(t, "127.0.0.1:1")
+	c := &lineCount{}
+	l.log = slog.New(c)
+	for range 2000 {
+		l.handle(input{kind: inFailover, addr: "127.0.0.1:2", err: io.EOF})
+	}
+	if c.lines < 10 || c.lines > 30 {
+		t.Errorf("%d lines of 2000 failures", c.lines)
+	}
+	l.quiet = endpoints.Bucket{Most: 10}
+	l.handle(input{kind: inFailover, addr: "127.0.0.1:2", err: io.EOF})
+	if !strings.Contains(c.last, "lines_left_out=") {
+		t.Errorf("said %q", c.last)
+	}
+}
+
 // A new process or address gets new connections; the backend stays the same.
 func TestNewProcessNewConnections(t *testing.T) {
 	l := quietLoop(t, "127.0.0.1:1")
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -53,6 +53,15 @@
 	Share  *float64        `json:"share,omitempty"`
 	Health *string         `json:"health,omitempty"` // "" takes an operator's word back
 	If     int64           `json:"if,omitempty"`     // only if the entry's version is that one; 0: in any case
+
+	Session *Session `json:"session,omitempty"`
+	Duty    *Duty    `json:"duty,omitempty"`
+	Ties    []Tie    `json:"ties,omitempty"`
+	Why     string   `json:"why,omitempty"`
+	// Under and Fence name the term of a duty under which the command is given; it is
+	// refused when that is over.
+	Under string `json:"under,omitempty"`
+	Fence int64  `json:"fence,omitempty"`
 }
 
 // Code says what became of a command.
@@ -76,6 +85,7 @@
 	Text string `json:"text,omitempty"`
 	// DampedFor is how long the entry stays unlisted for coming and going too often.
 	DampedFor time.Duration `json:"damped_for,omitempty"`
+	Fence     int64         `json:"fence,omitempty"` // of a duty that was granted
 }
 
 // Bounds of the state.
@@ -138,10 +148,17 @@
 	History []change          `json:"history"`
 	// HeldSince is since when entries are kept that would have lapsed; 0: none is.
 	HeldSince time.Duration `json:"held_since,omitempty"`
+
+	Sessions map[string]*Session `json:"sessions,omitempty"`
+	Duties   map[string]*Duty    `json:"duties,omitempty"`
+	Fence    int64               `json:"fence,omitempty"` // the last that was given
+	Rev      int64               `json:"rev,omitempty"`   // the last revision of a session
 }
 
 // New is the empty state.
-func New() *State { return &State{Form: Form, Entries: map[string]*Entry{}} }
+func New() *State {
+	return &State{Form: Form, Entries: map[string]*Entry{}, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}
+}
 
 // Encode words the state; one state has one wording.
 func (s *State) Encode() ([]byte, error) {
@@ -165,6 +182,9 @@
 	if s.Entries == nil {
 		s.Entries = map[string]*Entry{}
 	}
+	if err := s.checkDuties(); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
 	for name, e := range s.Entries {
 		if e == nil || e.Host.Host != name {
 			return nil, fmt.Errorf("snapshot: entry %q is not itself", name)
@@ -189,8 +209,16 @@
 		return s.result(Unsupported, fmt.Sprintf("form %d, this build reads form %d", c.Form, Form))
 	}
 	s.Clock = max(s.Clock, c.At)
+	if r, is := s.fenced(c); is {
+		return r
+	}
+	if r, is := s.duties(c); is {
+		return r
+	}
 	switch c.Kind {
 	case Floor:
+		// Fences and revisions go on beyond those of another life of the state too.
+		s.Fence, s.Rev = max(s.Fence, c.Seq), max(s.Rev, c.Seq)
 		if c.Seq > s.Seq {
 			// A reader who comes with a version below it may have it from another life of the
 			// service, so no change leads on from there: it gets the whole list.
--- /dev/null
+++ b/internal/catalog/duty_test.go
@@ -0,0 +1,287 @@
+package catalog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drawDuty makes one command on duties, sound or not.
+func drawDuty(t *rapid.T, s *State, at time.Duration) Command {
+	c := Command{Form: Form, At: at, Kind: rapid.SampledFrom([]Kind{Open, Open, Close, Rest, Define, Define, Drop, Grant, Grant, Grant,
+		Free, GiveUp, Move, Accept, Revoke, Park, Unpark, Floor, Set}).Draw(t, "kind")}
+	process := func() string { return fmt.Sprint("p-", rapid.IntRange(0, 3).Draw(t, "process")) }
+	id := func(p string) string { return fmt.Sprint(p, "-", rapid.IntRange(0, 1).Draw(t, "life")) }
+	name := func() string { return fmt.Sprint("d-", rapid.IntRange(0, 3).Draw(t, "duty")) }
+	fence := func() int64 { return int64(rapid.IntRange(0, 12).Draw(t, "fence")) }
+	switch c.Kind {
+	case Open, Close, Rest:
+		p := process()
+		c.Session = &Session{Process: p, ID: id(p), Cap: rapid.IntRange(-1, 3).Draw(t, "cap")}
+	case Define:
+		c.Duty = &Duty{Name: name(), TTL: rapid.SampledFrom([]time.Duration{0, time.Second, 3 * time.Second, time.Hour}).Draw(t, "ttl")}
+	case Drop, Revoke, Park, Unpark:
+		c.Name = name()
+	case Floor:
+		c.Seq = int64(rapid.IntRange(0, 8).Draw(t, "floor"))
+	case Set:
+		share := 1.0
+		c.Name, c.Share, c.Under, c.Fence = "s", &share, name(), fence()
+	default:
+		for range rapid.IntRange(0, 3).Draw(t, "ties") {
+			p := process()
+			tie := Tie{Name: name(), Process: p, Session: id(p), Fence: fence(), Blame: rapid.Bool().Draw(t, "blame")}
+			if d := s.Duties[tie.Name]; d != nil && rapid.Bool().Draw(t, "as it is") {
+				tie.Fence, tie.Session = d.Fence, d.Session
+			}
+			c.Ties = append(c.Ties, tie)
+		}
+		c.Why = rapid.SampledFrom([]string{"", WhyFailed, WhyMoved}).Draw(t, "why")
+	}
+	return c
+}
+
+// Whatever is said of duties, in whatever order and however often: one has one holder, which
+// has an open session; its fence only grows and no two terms share one; a term ends only by
+// its own holder's word, by its lapse, or with its session; an act under an older fence is
+// refused and changes nothing; what a session is told changes with its revision; a replay,
+// and a snapshot with the rest of the log, give the same state.
+func TestDutyLogs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		do(s, 0, Command{Kind: Register, Host: host("s", 1)})
+		restored := New()
+		do(restored, 0, Command{Kind: Register, Host: host("s", 1)})
+		terms := map[int64]string{}
+		told := map[string]string{}
+		cut := rapid.IntRange(0, 60).Draw(t, "snapshot at")
+		for i := range rapid.IntRange(1, 120).Draw(t, "commands") {
+			if i == cut {
+				text, err := s.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if restored, err = Decode(text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c := drawDuty(t, s, time.Duration(i*rapid.IntRange(0, 2000).Draw(t, "ms"))*time.Millisecond)
+			before := map[string]Duty{}
+			for name, d := range s.Duties {
+				before[name] = *d
+			}
+			text, _ := json.Marshal(c)
+			var read Command
+			if err := json.Unmarshal(text, &read); err != nil {
+				t.Fatal(err)
+			}
+			seq := s.Seq
+			r := s.Apply(&c)
+			if again := restored.Apply(&read); again != r {
+				t.Fatalf("%s: %+v, and elsewhere %+v", c.Kind, r, again)
+			}
+			if c.Kind == Open && r.Code == Done && s.Sessions[c.Session.Process].ID != c.Session.ID {
+				t.Fatalf("%s is told that it has the name that %s has", c.Session.ID, s.Sessions[c.Session.Process].ID)
+			}
+			if c.Under != "" {
+				d := s.Duties[c.Under]
+				if present := d != nil && d.Holder != "" && d.Fence == c.Fence; present != (r.Code == Done) || !present && s.Seq != seq {
+					t.Fatalf("an act under fence %d of %+v: %+v", c.Fence, d, r)
+				}
+			}
+			for name, d := range s.Duties {
+				was, known := before[name]
+				switch {
+				case known && d.Fence < was.Fence:
+					t.Fatalf("%s: fence %d after %d", name, d.Fence, was.Fence)
+				case d.Holder == "":
+				case s.Sessions[d.Holder] == nil || s.Sessions[d.Holder].ID != d.Session:
+					t.Fatalf("%s is held by %s, %s, which is not there", name, d.Holder, d.Session)
+				case terms[d.Fence] == "":
+					terms[d.Fence] = name + d.Session
+				case terms[d.Fence] != name+d.Session:
+					t.Fatalf("fence %d is %s's and %s's", d.Fence, terms[d.Fence], name+d.Session)
+				}
+				if d.Parked != "" && d.Holder != "" && d.Fence != was.Fence {
+					t.Fatalf("%s is parked and was granted: %+v", name, d)
+				}
+				if known && was.Holder != "" && (d.Holder != was.Holder || d.Fence != was.Fence) {
+					own := false
+					for _, tie := range c.Ties {
+						own = own || (c.Kind == Free || c.Kind == GiveUp) && tie.Name == name && tie.Fence == was.Fence
+					}
+					if !own && !(c.Kind == Close && c.Session.Process == was.Holder && c.Session.ID == was.Session) {
+						t.Fatalf("%s took %s from %s", c.Kind, name, was.Holder)
+					}
+				}
+			}
+			for _, p := range s.Processes() {
+				o := s.Sessions[p]
+				tasks, rev, _ := s.Tasks(p, o.ID)
+				key, now := fmt.Sprint(o.ID, rev), fmt.Sprint(tasks)
+				if was, some := told[key]; some && was != now {
+					t.Fatalf("at revision %d %s is to do %s, and was to do %s", rev, p, now, was)
+				}
+				told[key] = now
+			}
+		}
+		a, _ := s.Encode()
+		b, _ := restored.Encode()
+		if !bytes.Equal(a, b) {
+			t.Fatalf("elsewhere:\n%s\n%s", a, b)
+		}
+		if _, err := Decode(a); err != nil {
+			t.Fatalf("can't read its own snapshot: %v", err)
+		}
+	})
+}
+
+// A leader's decisions, over processes that come, fall silent, rest and go: nobody is freed
+// before its time since it was heard last is over, counted by a new leader from its own
+// beginning; nobody has more than it has room for; all that can be held is, in the end, and
+// then nothing changes hands.
+func TestTenures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		now := time.Duration(rapid.IntRange(0, 100).Draw(t, "from")) * time.Hour
+		tenures := Succeed(now)
+		heard := map[string]time.Duration{}
+		began := now
+		n := rapid.IntRange(1, 40).Draw(t, "duties")
+		for i := range n {
+			do(s, now, Command{Kind: Define, Duty: &Duty{Name: fmt.Sprintf("d-%02d", i), TTL: time.Duration(1+i%3) * time.Second,
+				Zone: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "zone")}})
+		}
+		lives := 0
+		up := map[string]string{}
+		step := func() (grants int) {
+			for p, id := range up {
+				if code := tenures.Heard(s, p, id, now); code == Done {
+					heard[id] = now
+				}
+			}
+			for _, c := range tenures.Decide(s, now) {
+				for _, tie := range c.Ties {
+					if d := s.Duties[tie.Name]; c.Kind == Free {
+						if last := max(heard[d.Session], began); now < last+d.TTL {
+							t.Fatalf("%s is freed %v after %s was heard, its time is %v", tie.Name, now-last, d.Holder, d.TTL)
+						}
+					}
+				}
+				if c.Kind == Grant || c.Kind == Move && len(c.Ties) > 0 && c.Ties[0].Process != "" {
+					grants += len(c.Ties)
+				}
+				do(s, now, c)
+			}
+			load := map[string]int{}
+			for _, d := range s.Duties {
+				if d.Next != "" { // the next is ready at once, and the holder stops at once
+					o := s.Sessions[d.Next]
+					do(s, now, Command{Kind: Accept, Ties: []Tie{{Name: d.Name, Process: d.Next, Session: o.ID}}})
+					do(s, now, Command{Kind: GiveUp, Ties: []Tie{{Name: d.Name, Fence: d.Fence}}})
+				}
+				if d.Holder != "" {
+					load[d.Holder]++
+				}
+			}
+			for p, k := range load {
+				if o := s.Sessions[p]; k > o.Cap {
+					t.Fatalf("%s holds %d, and has room for %d", p, k, o.Cap)
+				}
+			}
+			now += 100 * time.Millisecond
+			return grants
+		}
+		for range rapid.IntRange(0, 25).Draw(t, "changes") {
+			p := fmt.Sprint("p-", rapid.IntRange(0, 4).Draw(t, "process"))
+			switch rapid.SampledFrom([]string{"open", "open", "die", "rest", "close", "leader"}).Draw(t, "change") {
+			case "open":
+				lives++
+				id := fmt.Sprint(p, "-", lives)
+				if r := do(s, now, Command{Kind: Open, Session: &Session{Process: p, ID: id, Cap: rapid.IntRange(1, 30).Draw(t, "cap"),
+					Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")}}); r.Code == Done {
+					up[p], heard[id] = id, now
+				}
+			case "die":
+				delete(up, p)
+			case "rest":
+				do(s, now, Command{Kind: Rest, Session: &Session{Process: p, ID: up[p]}})
+			case "close":
+				do(s, now, Command{Kind: Close, Session: &Session{Process: p, ID: up[p]}})
+				delete(up, p)
+			case "leader":
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "without")) * time.Millisecond
+				tenures, began = Succeed(now), now
+			}
+			for range rapid.IntRange(1, 20).Draw(t, "steps") {
+				step()
+			}
+		}
+		for range 400 { // what had to be evened out is, and what was backed off
+			step()
+		}
+		room, held := 0, 0
+		for p := range up {
+			if o := s.Sessions[p]; o != nil && !o.Resting {
+				room += o.Cap
+			}
+		}
+		for _, d := range s.Duties {
+			if d.Holder != "" || d.Parked != "" {
+				held++
+			}
+		}
+		if held < min(n, room) {
+			t.Fatalf("%d of %d are held, there is room for %d", held, n, room)
+		}
+		for range 50 {
+			if moved := step(); moved > 0 {
+				t.Fatalf("%d change hands though nothing happens", moved)
+			}
+		}
+	})
+}
+
+// A duty that fails is backed off, longer each time; one that ends its holders is parked,
+// and what they held beside it is not.
+func TestBlame(t *testing.T) {
+	s := New()
+	do(s, 0, Command{Kind: Open, Session: &Session{Process: "p", ID: "i", Cap: 9}})
+	do(s, 0, Command{Kind: Define, Duty: &Duty{Name: "f", TTL: time.Second}})
+	var waits []time.Duration
+	for range 4 {
+		d := s.Duties["f"]
+		do(s, max(d.Wait, s.Clock), Command{Kind: Grant, Ties: []Tie{{Name: "f", Process: "p", Session: "i"}}})
+		do(s, s.Clock, Command{Kind: GiveUp, Why: WhyFailed, Ties: []Tie{{Name: "f", Session: "i", Fence: d.Fence}}})
+		waits = append(waits, d.Wait-s.Clock)
+	}
+	if fmt.Sprint(waits) != "[1s 2s 4s 8s]" {
+		t.Errorf("waits %v", waits)
+	}
+	now := s.Clock
+	tenures := Succeed(now)
+	for _, name := range []string{"innocent", "killer"} {
+		do(s, now, Command{Kind: Define, Duty: &Duty{Name: name, TTL: time.Second}})
+	}
+	for life := range 4 {
+		id := fmt.Sprint("k-", life)
+		do(s, now, Command{Kind: Open, Session: &Session{Process: "q", ID: id, Cap: 9}})
+		do(s, now, Command{Kind: Grant, Ties: []Tie{{Name: "innocent", Process: "q", Session: id}}})
+		do(s, now, Command{Kind: Grant, Ties: []Tie{{Name: "killer", Process: "q", Session: id}}})
+		for range 60 { // it is not heard of again
+			now += 100 * time.Millisecond
+			for _, c := range tenures.Decide(s, now) {
+				if c.Kind != Grant {
+					do(s, now, c)
+				}
+			}
+		}
+	}
+	if s.Duties["killer"].Parked == "" || s.Duties["innocent"].Parked != "" {
+		t.Errorf("the one that kills: %+v; the one beside it: %+v", s.Duties["killer"], s.Duties["innocent"])
+	}
+}
--- /dev/null
+++ b/internal/catalog/tenure.go
@@ -0,0 +1,278 @@
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// sessionTTL is how long a session without a duty is kept though it is not heard, and
+	// lively how long it is given any: idle ones renew twice a second.
+	sessionTTL = 3 * time.Second
+	lively     = time.Second
+	// mostTies bounds the duties of one decision: a command in the log stays small, and the
+	// death of a holder of a thousand is worked off a part at a time.
+	mostTies = 256
+	// moveWait is how long one that is to have a duty may take to be ready.
+	moveWait = 2 * time.Second
+	// restMoves and evenMoves bound the moves under way: those of processes that rest, and
+	// those that only even out.
+	restMoves, evenMoves = 128, 8
+	// killSoon is how soon after its grant a duty ends a process, if it does.
+	killSoon = 2 * time.Second
+	// settled is how long a term has to last before it is moved to even out.
+	settled = 10 * time.Second
+)
+
+// Tenures is what the leader alone knows of sessions: when each was heard last. Like
+// Leases it goes through no log, and a new leader gives each its full time again, so that
+// what another leader promised a holder is over before anybody else is granted its duty.
+type Tenures struct {
+	heard map[string]time.Duration // by session's id
+	began time.Duration
+	// What was decided to be over and may not be so in the state yet: until it is, no
+	// renewal may promise its holder any more.
+	over    map[string]int64 // duties, by name, and the fence
+	closing map[string]bool  // sessions, by id
+	// missed is when a session that held something lapsed: it is dead until it is heard.
+	missed map[string]time.Duration
+}
+
+// Succeed begins a leader's time.
+func Succeed(now time.Duration) *Tenures {
+	return &Tenures{heard: map[string]time.Duration{}, began: now, over: map[string]int64{}, closing: map[string]bool{}, missed: map[string]time.Duration{}}
+}
+
+// Heard notes that a session's process was heard. It is refused where there is no such, and
+// for the moment where its end has been decided.
+func (t *Tenures) Heard(s *State, process, id string, now time.Duration) Code {
+	o := s.Sessions[process]
+	switch {
+	case o == nil:
+		return Unknown
+	case o.ID != id:
+		return Taken
+	case t.closing[id]:
+		return Conflict
+	}
+	for name, fence := range t.over {
+		switch d := s.Duties[name]; {
+		case d == nil || d.Holder == "" || d.Fence != fence:
+			delete(t.over, name)
+		case d.Holder == process:
+			return Conflict
+		}
+	}
+	t.heard[id] = max(t.heard[id], now)
+	return Done
+}
+
+// last is when a session was heard last, as far as this leader can tell.
+func (t *Tenures) last(o *Session) time.Duration {
+	return max(t.heard[o.ID], t.began, o.Opened)
+}
+
+// able tells whether a session can be given something: not one that rests, or has fallen
+// silent of late.
+func (t *Tenures) able(o *Session, now time.Duration) bool {
+	at, missed := t.missed[o.ID]
+	return !o.Resting && now < t.last(o)+lively && (!missed || t.heard[o.ID] > at)
+}
+
+// Decide tells what has to be proposed now about duties: in the order of the commands.
+func (t *Tenures) Decide(s *State, now time.Duration) []Command {
+	var out []Command
+	ties := func(kind Kind, list []Tie) {
+		if len(list) > 0 {
+			out = append(out, Command{Kind: kind, Ties: list})
+		}
+	}
+	names := s.DutyNames()
+	load := map[string]int{}
+	var lapsed, unmove []Tie
+	moving, resting := 0, 0
+	held := map[string]bool{}
+	latest := map[string]int{} // of the lapsed ones of a session, the one that it was granted last
+	for _, name := range names {
+		d := s.Duties[name]
+		if d.Next != "" {
+			load[d.Next]++
+			if moving++; now-d.NextFrom > moveWait && !d.Accepted {
+				unmove = append(unmove, Tie{Name: name})
+			}
+		}
+		if d.Holder == "" {
+			continue
+		}
+		held[d.Session] = true
+		o := s.Sessions[d.Holder]
+		// A holder counts its time from a renewal that it sent, so never from later than that;
+		// one that has just been granted something may not have been heard for a while.
+		if o == nil || o.ID != d.Session || now >= max(t.last(o), d.Since)+d.TTL {
+			t.missed[d.Session] = now
+			if len(lapsed) < mostTies {
+				if i, some := latest[d.Session]; !some || lapsed[i].Fence < d.Fence {
+					latest[d.Session] = len(lapsed)
+				}
+				lapsed = append(lapsed, Tie{Name: name, Fence: d.Fence})
+				t.over[name] = d.Fence
+			}
+			continue
+		}
+		if d.Next == "" {
+			load[d.Holder]++
+		}
+	}
+	for _, i := range latest { // if it died of one of them, then of that, and soon
+		d := s.Duties[lapsed[i].Name]
+		o := s.Sessions[d.Holder]
+		lapsed[i].Blame = o == nil || o.ID != d.Session || t.last(o) < d.Since+killSoon
+	}
+	ties(Free, lapsed)
+	ties(Move, unmove)
+	for id := range t.heard {
+		if !slices.ContainsFunc(s.Processes(), func(p string) bool { return s.Sessions[p].ID == id }) {
+			delete(t.heard, id)
+			delete(t.closing, id)
+			delete(t.missed, id)
+		}
+	}
+	var able []*Session
+	for _, process := range s.Processes() {
+		o := s.Sessions[process]
+		gone := now >= t.last(o)+sessionTTL
+		switch {
+		case gone && !held[o.ID]:
+			t.closing[o.ID] = true
+			out = append(out, Command{Kind: Close, Session: &Session{Process: o.Process, ID: o.ID}, Why: WhyLapsed})
+		case !gone && t.able(o, now):
+			able = append(able, o)
+		}
+	}
+	if len(able) == 0 {
+		return out
+	}
+	var grants []Tie
+	for _, name := range names {
+		d := s.Duties[name]
+		if d.Holder != "" || d.Parked != "" || now < d.Wait || len(grants) == mostTies {
+			continue
+		}
+		if o := best(able, load, d, ""); o != nil {
+			load[o.Process]++
+			grants = append(grants, Tie{Name: name, Process: o.Process, Session: o.ID})
+		}
+	}
+	ties(Grant, grants)
+	if len(grants) > 0 {
+		return out // first all that nobody has
+	}
+	var moves []Tie
+	for _, name := range names {
+		d := s.Duties[name]
+		o := s.Sessions[d.Holder]
+		if d.Holder == "" || d.Next != "" || d.Stop || d.Parked != "" || o == nil || !o.Resting || moving+resting >= restMoves {
+			continue
+		}
+		if to := best(able, load, d, d.Holder); to != nil {
+			load[to.Process]++
+			resting++
+			moves = append(moves, Tie{Name: name, Process: to.Process})
+		}
+	}
+	if len(moves) == 0 && moving < evenMoves {
+		moves = even(s, able, load, names, now, evenMoves-moving)
+	}
+	ties(Move, moves)
+	return out
+}
+
+// Processes returns the names of all sessions in order.
+func (s *State) Processes() []string {
+	var names []string
+	for name := range s.Sessions {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Other is who had best have a duty after its holder; "" is nobody.
+func (t *Tenures) Other(s *State, name string, now time.Duration) string {
+	d := s.Duties[name]
+	if d == nil || d.Holder == "" {
+		return ""
+	}
+	load := map[string]int{}
+	for _, other := range s.Duties {
+		load[other.Holder]++
+	}
+	var able []*Session
+	for _, process := range s.Processes() {
+		if o := s.Sessions[process]; t.able(o, now) {
+			able = append(able, o)
+		}
+	}
+	if o := best(able, load, d, d.Holder); o != nil {
+		return o.Process
+	}
+	return ""
+}
+
+// best is the session that had best have a duty: the process that it prefers, then its
+// zone, not where it failed last, then who has least of what it may have.
+func best(able []*Session, load map[string]int, d *Duty, not string) *Session {
+	rank := func(o *Session) (r int) {
+		if d.Process == "" || d.Process != o.Process {
+			r += 4
+		}
+		if o.Process == d.Avoid {
+			r += 5 // worse than not to be preferred
+		}
+		if d.Zone != "" && d.Zone != o.Zone {
+			r += 2
+		}
+		return r
+	}
+	var found *Session
+	for _, o := range able {
+		if o.Process == not || load[o.Process] >= o.Cap || !o.Does(d.Name) {
+			continue
+		}
+		if found == nil || cmp.Or(cmp.Compare(rank(o), rank(found)), cmp.Compare(load[o.Process]*found.Cap, load[found.Process]*o.Cap)) < 0 {
+			found = o
+		}
+	}
+	return found
+}
+
+// even moves a few duties to whoever has least of what it may have, from those that have
+// much more, while they are far apart; what prefers to be where it is stays.
+func even(s *State, able []*Session, load map[string]int, names []string, now time.Duration, most int) (moves []Tie) {
+	for _, name := range names {
+		d := s.Duties[name]
+		high := s.Sessions[d.Holder]
+		if len(moves) == most {
+			break
+		}
+		if high == nil || d.Next != "" || d.Stop || d.Parked != "" || now-d.Since < settled || d.Process == high.Process || high.Cap == 0 {
+			continue
+		}
+		var low *Session
+		for _, o := range able {
+			if o != high && load[o.Process] < o.Cap && o.Process != d.Avoid && o.Does(name) && (d.Zone == "" || d.Zone != high.Zone || d.Zone == o.Zone) &&
+				(low == nil || load[o.Process]*low.Cap < load[low.Process]*o.Cap) {
+				low = o
+			}
+		}
+		// By how many the one has more than its part by the other's measure.
+		if low == nil || load[high.Process]-load[low.Process]*high.Cap/low.Cap <= 2+load[high.Process]/10 {
+			continue
+		}
+		moves = append(moves, Tie{Name: name, Process: low.Process})
+		load[high.Process]--
+		load[low.Process]++
+	}
+	return moves
+}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -47,6 +47,7 @@
 	mux.HandleFunc("PUT /v1/snapshot", n.leaderWrites(n.restore))
 	mux.HandleFunc("PUT /v1/peers/{name}", n.leaderWrites(n.addPeer))
 	mux.HandleFunc("DELETE /v1/peers/{name}", n.leaderWrites(n.removePeer))
+	n.handleDuties(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.m.registry, promhttp.HandlerOpts{}))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
@@ -70,12 +71,16 @@
 // statuses are the codes of the catalog on HTTP.
 var statuses = map[catalog.Code]int{catalog.Superseded: http.StatusConflict, catalog.Unknown: http.StatusNotFound,
 	catalog.Conflict: http.StatusPreconditionFailed, catalog.Invalid: http.StatusBadRequest,
+	catalog.Fenced: http.StatusPreconditionFailed, catalog.Taken: http.StatusConflict,
 	catalog.TooMany: http.StatusInsufficientStorage, catalog.Unsupported: http.StatusNotImplemented}
 
 // refuse words an error in one line. What surely had no effect says so.
 func refuse(w http.ResponseWriter, err error) {
 	var bad *badRequest
+	var refused *refusal
 	switch {
+	case errors.As(err, &refused):
+		http.Error(w, err.Error(), statuses[refused.Code])
 	case errors.As(err, &bad):
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	case errors.Is(err, errNoLeader):
@@ -338,13 +343,17 @@
 		return err
 	}
 	if res.Code != catalog.Done {
-		http.Error(w, string(res.Code)+": "+res.Text, statuses[res.Code])
-		return nil
+		return &refusal{res}
 	}
 	answer(w, res)
 	return nil
 }
 
+// refusal is what the state said no to.
+type refusal struct{ catalog.Result }
+
+func (r *refusal) Error() string { return string(r.Code) + ": " + r.Text }
+
 // register takes a server's entry; its lease begins.
 func (n *Node) register(w http.ResponseWriter, r *http.Request) error {
 	var h endpoints.Host
@@ -476,7 +485,7 @@
 	n.fsm.read(func(s *catalog.State) { // all that it names have their full time
 		n.base, n.ledSince = max(n.base+time.Since(n.ledSince), s.Clock), time.Now()
 		if n.leases != nil {
-			n.leases = catalog.Lead(n.c.leases(), s, n.base)
+			n.leases, n.tenures = catalog.Lead(n.c.leases(), s, n.base), catalog.Succeed(n.base)
 		}
 	})
 	n.lead.Unlock()
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"molepaddle/internal/catalog"
+	"molepaddle/internal/duty"
 	"molepaddle/internal/endpoints"
 )
 
@@ -120,3 +121,90 @@
 func (c *Client) Confirm(ctx context.Context) error {
 	return c.do(ctx, http.MethodPost, "/v1/guard/confirm", nil, nil)
 }
+
+// OpenSession takes the process in among those that can hold duties.
+func (c *Client) OpenSession(ctx context.Context, s catalog.Session) error {
+	return sessionError(c.do(ctx, http.MethodPut, "/v1/sessions/"+s.Process, s, nil))
+}
+
+// RenewSession says that the process is there.
+func (c *Client) RenewSession(ctx context.Context, process, id string, rev int64) (t duty.Tasks, err error) {
+	return t, sessionError(c.do(ctx, http.MethodPost, "/v1/sessions/"+process+"/renewal", renewalBody{id, rev}, &t))
+}
+
+// WatchSession waits a while for a later revision.
+func (c *Client) WatchSession(ctx context.Context, process, id string, rev int64) (t duty.Tasks, err error) {
+	return t, sessionError(c.do(ctx, http.MethodGet, fmt.Sprintf("/v1/sessions/%s/tasks?id=%s&rev=%d", process, id, rev), nil, &t))
+}
+
+// EndSession closes the session, or has it rest: its duties go to others.
+func (c *Client) EndSession(ctx context.Context, process, id string, rest bool) error {
+	query := ""
+	if rest {
+		query = "&rest=1"
+	}
+	return sessionError(c.do(ctx, http.MethodDelete, "/v1/sessions/"+process+"?id="+id+query, nil, nil))
+}
+
+// Terms tells what became of terms. A term that is over by now is no error.
+func (c *Client) Terms(ctx context.Context, kind catalog.Kind, ties []catalog.Tie, why string) error {
+	err := c.do(ctx, http.MethodPost, "/v1/terms", termsBody{kind, ties, why}, nil)
+	var refused *HTTPError
+	if errors.As(err, &refused) && refused.Status/100 == 4 {
+		return nil
+	}
+	return err
+}
+
+// sessionError gives refusals the meaning that a holder knows.
+func sessionError(err error) error {
+	var refused *HTTPError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	switch {
+	case refused.Status == http.StatusNotFound:
+		return fmt.Errorf("%w: %v", duty.ErrGone, err)
+	case refused.Status == http.StatusConflict:
+		return fmt.Errorf("%w: %v", duty.ErrTaken, err)
+	}
+	return err
+}
+
+// Duties reads all duties.
+func (c *Client) Duties(ctx context.Context) (all []catalog.Duty, err error) {
+	return all, c.do(ctx, http.MethodGet, "/v1/duties?consistent=1", nil, &all)
+}
+
+// Duty reads one.
+func (c *Client) Duty(ctx context.Context, name string) (d catalog.Duty, err error) {
+	return d, c.do(ctx, http.MethodGet, "/v1/duties/"+name+"?consistent=1", nil, &d)
+}
+
+// Sessions reads the processes that can hold duties.
+func (c *Client) Sessions(ctx context.Context) (all []catalog.Session, err error) {
+	return all, c.do(ctx, http.MethodGet, "/v1/sessions?consistent=1", nil, &all)
+}
+
+// Define makes a duty, or changes whom it prefers.
+func (c *Client) Define(ctx context.Context, name string, b DutyBody) error {
+	return c.do(ctx, http.MethodPut, "/v1/duties/"+name, b, nil)
+}
+
+// Claim asks for a duty that nobody holds, for a session.
+func (c *Client) Claim(ctx context.Context, name, process, id string) (r catalog.Result, err error) {
+	return r, c.do(ctx, http.MethodPost, "/v1/duties/"+name+"/claim", claimBody{process, id}, &r)
+}
+
+// GiveUp ends a term.
+func (c *Client) GiveUp(ctx context.Context, t catalog.Tie) error {
+	return c.do(ctx, http.MethodPost, "/v1/terms", termsBody{catalog.GiveUp, []catalog.Tie{t}, catalog.WhyDone}, nil)
+}
+
+// Order gives an operator's word on a duty: move, revoke, park, unpark, or drop.
+func (c *Client) Order(ctx context.Context, name, word, to, why string) error {
+	if word == "drop" {
+		return c.do(ctx, http.MethodDelete, "/v1/duties/"+name, nil, nil)
+	}
+	return c.do(ctx, http.MethodPost, "/v1/duties/"+name+"/"+word, wordBody{to, why}, nil)
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -49,6 +49,8 @@
 
 	SnapshotEvery uint64        `koanf:"snapshot_every"` // log entries
 	SnapshotCheck time.Duration `koanf:"snapshot_check"`
+	SaveEvery     time.Duration `koanf:"save_every"`  // a copy of the state by whoever has that duty; 0: none
+	AuditEvery    time.Duration `koanf:"audit_every"` // the list against what servers say; 0: never
 	LogLevel      string        `koanf:"log_level"`
 
 	Now func() time.Time                  `koanf:"-"` // the machine's clock, of which no more is asked than a hint
@@ -127,6 +129,8 @@
 		{"max_writes", c.MaxWrites < 1, fmt.Sprintf("must be 1 or above, is %d", c.MaxWrites)},
 		{"snapshot_every", c.SnapshotEvery < 1, "must be 1 or above"},
 		{"snapshot_check", c.SnapshotCheck <= 0, "must be above 0"},
+		{"save_every", c.SaveEvery < 0 || c.SaveEvery > 0 && c.SaveEvery < 100*time.Millisecond, fmt.Sprintf("must be 0, or 100ms or above, is %v", c.SaveEvery)},
+		{"audit_every", c.AuditEvery < 0 || c.AuditEvery > 0 && c.AuditEvery < 100*time.Millisecond, fmt.Sprintf("must be 0, or 100ms or above, is %v", c.AuditEvery)},
 		{"log_level", !slices.Contains([]string{"debug", "info", "warn", "error"}, c.LogLevel), fmt.Sprintf("must be debug, info, warn or error, is %q", c.LogLevel)},
 	} {
 		if ch.bad {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -247,6 +248,63 @@
 	})
 }
 
+// full is a disk that takes nothing.
+type full struct{ raft.StableStore }
+
+func (full) Set(_, _ []byte) error              { return errors.New("no space left on device") }
+func (full) SetUint64(_ []byte, _ uint64) error { return errors.New("no space left on device") }
+
+// What raft promised and can't be written ends the steward with a line that says why, before
+// raft goes on as if it were.
+func TestPromises(t *testing.T) {
+	for what, promise := range map[string]func(p *promises){
+		"vote": func(p *promises) { _ = p.Set([]byte("LastVoteCand"), []byte("st-1")) },
+		"term": func(p *promises) { _ = p.SetUint64([]byte("CurrentTerm"), 7) },
+	} {
+		var said []error
+		wentOn := false
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			promise(&promises{full{}, func(err error) { said = append(said, err) }})
+			wentOn = true
+		}()
+		<-done
+		if wentOn || len(said) != 1 || !strings.Contains(said[0].Error(), "the log can't be written: no space left") {
+			t.Errorf("%s: went on %v, said %v", what, wentOn, said)
+		}
+	}
+}
+
+// A client whose first address hangs asks another from then on, and the first again only
+// when that one fails too; what may have had an effect is not sent again by itself.
+func TestClientGoesOn(t *testing.T) {
+	asked := make(chan int, 10)
+	hang := make(chan struct{})
+	var addrs []string
+	for i := range 2 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- i
+			if i == 0 {
+				<-hang
+			}
+			fmt.Fprint(w, "{}")
+		}))
+		defer s.Close()
+		addrs = append(addrs, s.Listener.Addr().String())
+	}
+	defer close(hang)
+	c := NewClient(addrs, 200*time.Millisecond)
+	for i, want := range []bool{false, true, true} {
+		if _, err := c.Set(t.Context(), "s", Word{}); (err == nil) != want {
+			t.Errorf("call %d: %v", i, err)
+		}
+	}
+	if a, b, c := <-asked, <-asked, <-asked; a != 0 || b != 1 || c != 1 || len(asked) > 0 {
+		t.Errorf("asked %d, %d, %d and %d more", a, b, c, len(asked))
+	}
+}
+
 // Whatever doesn't fit in a log or a snapshot ends the steward rather than its state.
 func TestUnreadable(t *testing.T) {
 	var broken []error
--- /dev/null
+++ b/internal/control/duties.go
@@ -0,0 +1,542 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"molepaddle/internal/catalog"
+	"molepaddle/internal/duty"
+	"molepaddle/internal/endpoints"
+)
+
+// The stewards' own duties.
+const (
+	sweepDuty    = "sweep"     // ends the leases of servers that are not heard
+	snapshotDuty = "snapshots" // keeps copies of the state
+	auditDuty    = "audit"     // compares the list with what the servers say
+	ownTTL       = 2 * time.Second
+	sweepEvery   = 100 * time.Millisecond
+	pollWait     = 10 * time.Second
+	ownCap       = 16
+)
+
+// defineOwn has the stewards' own duties be there.
+func (n *Node) defineOwn() {
+	for _, name := range []string{sweepDuty, snapshotDuty, auditDuty} {
+		known := false
+		n.fsm.read(func(s *catalog.State) { known = s.Duties[name] != nil })
+		if known {
+			continue
+		}
+		if _, err := n.propose(catalog.Command{Kind: catalog.Define, Duty: &catalog.Duty{Name: name, TTL: ownTTL}}); err != nil {
+			n.log.Warn("a duty was not defined", "duty", name, "err", err)
+			return
+		}
+	}
+}
+
+// assign proposes what sessions and duties call for: who has none any more, who gets which.
+func (n *Node) assign() {
+	now, leads := n.elapsed()
+	if !leads {
+		return
+	}
+	var cs []catalog.Command
+	n.lead.Lock()
+	if n.tenures != nil {
+		n.fsm.read(func(s *catalog.State) { cs = n.tenures.Decide(s, now) })
+	}
+	n.lead.Unlock()
+	for _, c := range cs {
+		if _, err := n.propose(c); err != nil {
+			n.log.Warn("not proposed", "command", c.Kind, "err", err)
+			return
+		}
+		n.m.hands.WithLabelValues(string(c.Kind)).Add(float64(max(len(c.Ties), 1)))
+		if len(c.Ties) > 0 {
+			n.log.Info("duties", "command", c.Kind, "count", len(c.Ties), "first", c.Ties[0].Name, "process", c.Ties[0].Process)
+		} else {
+			n.log.Info("duties", "command", c.Kind, "process", c.Session.Process)
+		}
+	}
+}
+
+// serveDuties has this steward take its part of the duties.
+func (n *Node) serveDuties() {
+	var addrs []string
+	addrs = append(addrs, n.c.Listen)
+	for _, name := range n.c.others() {
+		addrs = append(addrs, (*n.table.Load())[name].HTTP)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.retire, n.retired = stop, make(chan struct{})
+	c := NewClient(addrs, pollWait+5*time.Second)
+	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
+		Kinds: map[string]duty.Function{sweepDuty: n.doSweep(c), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c)}})
+	go func() {
+		defer close(n.retired)
+		n.holder.Run(ctx)
+	}()
+}
+
+// leaveDuties hands over what this steward holds.
+func (n *Node) leaveDuties() {
+	if n.retire != nil {
+		n.retire()
+		<-n.retired
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// doSweep has the leader, who alone knows when each server was heard, end what has to end:
+// under this duty's fence.
+func (n *Node) doSweep(c *Client) duty.Function {
+	return func(ctx context.Context, _ string, fence int64) error {
+		for pause(ctx, sweepEvery) {
+			err := c.do(ctx, http.MethodPost, "/v1/sweep", fenceBody{fence}, nil)
+			var refused *HTTPError
+			if errors.As(err, &refused) && refused.Status == http.StatusPreconditionFailed {
+				return nil // another has the duty
+			}
+		}
+		return nil
+	}
+}
+
+type fenceBody struct {
+	Fence int64 `json:"fence"`
+}
+
+// mostSaved is how many copies of the state are kept.
+const mostSaved = 8
+
+// doSnapshots keeps copies of the state in the data folder of whoever has the duty.
+func (n *Node) doSnapshots(c *Client) duty.Function {
+	return func(ctx context.Context, _ string, fence int64) error {
+		if n.c.SaveEvery <= 0 {
+			<-ctx.Done()
+			return nil
+		}
+		for pause(ctx, n.c.SaveEvery) {
+			text, err := c.Snapshot(ctx)
+			if err != nil {
+				n.log.Warn("no copy of the state was kept", "err", err)
+				continue
+			}
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err := n.save(text, fence); err != nil {
+				return fmt.Errorf("keep a copy of the state: %w", err)
+			}
+			n.m.saved.Inc()
+		}
+		return nil
+	}
+}
+
+// save writes a copy whole or not at all, named by when it was made and under which fence,
+// and drops the oldest beyond those that are kept.
+func (n *Node) save(text []byte, fence int64) error {
+	dir := filepath.Join(n.c.Data, "saved")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	name := filepath.Join(dir, fmt.Sprintf("%020d-%d.json", n.c.Now().UnixMicro(), fence))
+	if err := WriteWhole(name, text); err != nil {
+		return err
+	}
+	all, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return err
+	}
+	slices.Sort(all)
+	for _, old := range all[:max(len(all)-mostSaved, 0)] {
+		if err := os.Remove(old); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteWhole writes a file whole or not at all, and has it on the disk before it returns.
+func WriteWhole(name string, text []byte) error {
+	f, err := os.OpenFile(name+".part", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	return os.Rename(name+".part", name)
+}
+
+const (
+	auditWait = time.Second // for a server's answer
+	auditMany = 16          // servers that are asked at once
+)
+
+// doAudit asks each listed server how it is, and says where the list is of another mind. It
+// changes nothing: one observer is no evidence against a server.
+func (n *Node) doAudit(c *Client) duty.Function {
+	client := &http.Client{Timeout: auditWait, Transport: &http.Transport{DisableKeepAlives: true}}
+	return func(ctx context.Context, _ string, fence int64) error {
+		if n.c.AuditEvery <= 0 {
+			<-ctx.Done()
+			return nil
+		}
+		for pause(ctx, n.c.AuditEvery) {
+			l, err := c.List(ctx)
+			if err != nil {
+				continue
+			}
+			unlike := audit(ctx, client, l.Hosts)
+			if ctx.Err() != nil {
+				return nil
+			}
+			n.m.audited.Inc()
+			n.m.unlike.Set(float64(len(unlike)))
+			if len(unlike) > 0 {
+				n.log.Warn("the list is of another mind than servers", "servers", len(unlike), "of", len(l.Hosts), "first", unlike[0], "fence", fence)
+			}
+		}
+		return nil
+	}
+}
+
+// audit returns the servers that are listed as ready and don't say so themselves, in order.
+func audit(ctx context.Context, client *http.Client, hosts []endpoints.Host) (unlike []string) {
+	places := make(chan struct{}, auditMany)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, h := range hosts {
+		if h.Health != endpoints.Ready {
+			continue
+		}
+		places <- struct{}{}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer func() { <-places }()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Dial+"/health", nil)
+			if err != nil {
+				return
+			}
+			resp, err := client.Do(req)
+			if err == nil {
+				resp.Body.Close()
+			}
+			if err != nil || resp.StatusCode != http.StatusOK {
+				mu.Lock()
+				unlike = append(unlike, h.Host)
+				mu.Unlock()
+			}
+		}()
+	}
+	all.Wait()
+	slices.Sort(unlike)
+	return unlike
+}
+
+func (n *Node) handleDuties(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /v1/sessions/{process}", n.leaderWrites(n.openSession))
+	mux.HandleFunc("DELETE /v1/sessions/{process}", n.leaderWrites(n.endSession))
+	mux.HandleFunc("POST /v1/sessions/{process}/renewal", n.leaderWrites(n.renewSession))
+	mux.HandleFunc("GET /v1/sessions/{process}/tasks", n.serveTasks)
+	mux.HandleFunc("GET /v1/sessions", n.leaderReads(n.serveSessions))
+	mux.HandleFunc("POST /v1/terms", n.leaderWrites(n.terms))
+	mux.HandleFunc("GET /v1/duties", n.leaderReads(n.serveDutyList))
+	mux.HandleFunc("GET /v1/duties/{name}", n.leaderReads(n.serveDuty))
+	mux.HandleFunc("PUT /v1/duties/{name}", n.leaderWrites(n.define))
+	mux.HandleFunc("DELETE /v1/duties/{name}", n.leaderWrites(n.order(catalog.Drop)))
+	mux.HandleFunc("POST /v1/duties/{name}/claim", n.leaderWrites(n.claim))
+	mux.HandleFunc("POST /v1/duties/{name}/move", n.leaderWrites(n.move))
+	mux.HandleFunc("POST /v1/duties/{name}/revoke", n.leaderWrites(n.order(catalog.Revoke)))
+	mux.HandleFunc("POST /v1/duties/{name}/park", n.leaderWrites(n.order(catalog.Park)))
+	mux.HandleFunc("POST /v1/duties/{name}/unpark", n.leaderWrites(n.order(catalog.Unpark)))
+	mux.HandleFunc("POST /v1/sweep", n.leaderWrites(func(w http.ResponseWriter, r *http.Request) error {
+		var b fenceBody
+		if err := body(w, r, &b); err != nil {
+			return err
+		}
+		if err := n.sweep(b.Fence); err != nil {
+			return err
+		}
+		answer(w, struct{}{})
+		return nil
+	}))
+}
+
+func (n *Node) openSession(w http.ResponseWriter, r *http.Request) error {
+	var s catalog.Session
+	if err := body(w, r, &s); err != nil {
+		return err
+	}
+	s.Process, s.Rev, s.Opened, s.Resting = r.PathValue("process"), 0, 0, false
+	return n.commit(w, catalog.Command{Kind: catalog.Open, Session: &s})
+}
+
+func (n *Node) endSession(w http.ResponseWriter, r *http.Request) error {
+	kind := catalog.Close
+	if r.URL.Query().Get("rest") == "1" {
+		kind = catalog.Rest
+	}
+	return n.commit(w, catalog.Command{Kind: kind, Session: &catalog.Session{Process: r.PathValue("process"), ID: r.URL.Query().Get("id")}})
+}
+
+type renewalBody struct {
+	ID  string `json:"id"`
+	Rev int64  `json:"rev"`
+}
+
+// renewSession notes that a process was heard. It is answered only by one that is shown to
+// have led when it was: what another promises later is later by the whole time.
+func (n *Node) renewSession(w http.ResponseWriter, r *http.Request) error {
+	var b renewalBody
+	if err := body(w, r, &b); err != nil {
+		return err
+	}
+	process := r.PathValue("process")
+	now, leads := n.elapsed()
+	if !leads {
+		return errNoLeader
+	}
+	var code catalog.Code
+	var t duty.Tasks
+	n.lead.Lock()
+	if n.tenures == nil {
+		n.lead.Unlock()
+		return errNoLeader
+	}
+	n.fsm.read(func(s *catalog.State) {
+		if code = n.tenures.Heard(s, process, b.ID, now); code == catalog.Done {
+			t.Tasks, t.Rev, _ = s.Tasks(process, b.ID)
+		}
+	})
+	n.lead.Unlock()
+	switch code {
+	case catalog.Done:
+	case catalog.Conflict:
+		return &refusal{catalog.Result{Code: code, Text: "the end of its time has been decided; ask again"}}
+	case catalog.Taken:
+		return &refusal{catalog.Result{Code: code, Text: fmt.Sprintf("another process is called %s", process)}}
+	default:
+		return &refusal{catalog.Result{Code: code, Text: fmt.Sprintf("no session of %s", process)}}
+	}
+	if err := n.prove(r.Context()); err != nil {
+		return err
+	}
+	if t.Rev <= b.Rev {
+		t.Tasks = nil
+	}
+	answer(w, t)
+	return nil
+}
+
+// mostPolls bounds the sessions that wait for their tasks at one steward.
+const mostPolls = 4 * catalog.MaxSessions
+
+// serveTasks waits until what a session is to do is later than what it knows, or a while.
+func (n *Node) serveTasks(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	rev, err := strconv.ParseInt(q.Get("rev"), 10, 64)
+	if err != nil || rev < 0 {
+		http.Error(w, "rev: no revision", http.StatusBadRequest)
+		return
+	}
+	if n.polls.Add(1) > mostPolls {
+		n.polls.Add(-1)
+		n.calls.refuse(w, time.Second)
+		return
+	}
+	defer n.polls.Add(-1)
+	end := time.NewTimer(pollWait)
+	defer end.Stop()
+	for {
+		t, ok, stirred := n.fsm.tasks(r.PathValue("process"), q.Get("id"))
+		switch {
+		case !ok && n.stale(), !ok && n.raft() == nil:
+			refuse(w, errNoLeader)
+			return
+		case ok && t.Rev > rev:
+			answer(w, t)
+			return
+		}
+		select { // one that is not known here may be in a moment
+		case <-stirred:
+			continue
+		case <-end.C:
+		case <-r.Context().Done():
+		case <-n.ctx.Done():
+		}
+		if !ok {
+			http.Error(w, "unknown: no session of "+r.PathValue("process"), http.StatusNotFound)
+			return
+		}
+		answer(w, duty.Tasks{Rev: t.Rev})
+		return
+	}
+}
+
+type termsBody struct {
+	Kind catalog.Kind  `json:"kind"`
+	Ties []catalog.Tie `json:"ties"`
+	Why  string        `json:"why,omitempty"`
+}
+
+// terms takes what holders say of their terms.
+func (n *Node) terms(w http.ResponseWriter, r *http.Request) error {
+	var b termsBody
+	if err := body(w, r, &b); err != nil {
+		return err
+	}
+	if b.Kind != catalog.GiveUp && b.Kind != catalog.Accept {
+		return bad("kind: must be %q or %q", catalog.GiveUp, catalog.Accept)
+	}
+	if len(b.Ties) == 0 || len(b.Ties) > maxRefs {
+		return bad("ties: must be 1 to %d", maxRefs)
+	}
+	if !slices.Contains([]string{"", catalog.WhyDone, catalog.WhyFailed, catalog.WhyMoved, catalog.WhyLapsed, catalog.WhyRevoked}, b.Why) {
+		return bad("why: unknown word %q", b.Why)
+	}
+	for _, t := range b.Ties {
+		if t.Session == "" {
+			return bad("ties: one without its session")
+		}
+	}
+	return n.commit(w, catalog.Command{Kind: b.Kind, Ties: b.Ties, Why: b.Why})
+}
+
+// DutyBody is how a duty is defined.
+type DutyBody struct {
+	TTLMs   int64  `json:"ttl_ms"`
+	Zone    string `json:"zone,omitempty"`
+	Process string `json:"process,omitempty"`
+}
+
+func (n *Node) define(w http.ResponseWriter, r *http.Request) error {
+	var b DutyBody
+	if err := body(w, r, &b); err != nil {
+		return err
+	}
+	if b.TTLMs < 0 || b.TTLMs > catalog.MaxTTL.Milliseconds() {
+		return bad("ttl_ms: must be %d to %d, is %d", catalog.MinTTL.Milliseconds(), catalog.MaxTTL.Milliseconds(), b.TTLMs)
+	}
+	return n.commit(w, catalog.Command{Kind: catalog.Define, Duty: &catalog.Duty{Name: r.PathValue("name"),
+		TTL: time.Duration(b.TTLMs) * time.Millisecond, Zone: b.Zone, Process: b.Process}})
+}
+
+type claimBody struct {
+	Process string `json:"process"`
+	ID      string `json:"id"`
+}
+
+// claim gives a session a duty that nobody holds. One that is repeated, as its answer was
+// lost, is answered as it was.
+func (n *Node) claim(w http.ResponseWriter, r *http.Request) error {
+	var b claimBody
+	if err := body(w, r, &b); err != nil {
+		return err
+	}
+	return n.commit(w, catalog.Command{Kind: catalog.Grant, Ties: []catalog.Tie{{Name: r.PathValue("name"), Process: b.Process, Session: b.ID}}})
+}
+
+type wordBody struct {
+	To  string `json:"to,omitempty"`
+	Why string `json:"why,omitempty"`
+}
+
+func (n *Node) order(kind catalog.Kind) func(http.ResponseWriter, *http.Request) error {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		var b wordBody
+		if r.ContentLength != 0 {
+			if err := body(w, r, &b); err != nil {
+				return err
+			}
+		}
+		if len(b.Why) > endpoints.MaxName || strings.ContainsAny(b.Why, "\n\r") {
+			return bad("why: must be one line of at most %d bytes", endpoints.MaxName)
+		}
+		n.log.Info("an operator's word on a duty", "duty", r.PathValue("name"), "command", kind, "why", b.Why)
+		return n.commit(w, catalog.Command{Kind: kind, Name: r.PathValue("name"), Why: b.Why})
+	}
+}
+
+// move has a duty go to a process, or to the best other one.
+func (n *Node) move(w http.ResponseWriter, r *http.Request) error {
+	var b wordBody
+	if err := body(w, r, &b); err != nil {
+		return err
+	}
+	name := r.PathValue("name")
+	if b.To == "" {
+		n.lead.Lock()
+		n.fsm.read(func(s *catalog.State) {
+			if n.tenures != nil {
+				b.To = n.tenures.Other(s, name, n.base+time.Since(n.ledSince))
+			}
+		})
+		n.lead.Unlock()
+		if b.To == "" {
+			return &refusal{catalog.Result{Code: catalog.Conflict, Text: fmt.Sprintf("no other process has room for duty %s, or nobody holds it", name)}}
+		}
+	}
+	n.log.Info("an operator moves a duty", "duty", name, "to", b.To)
+	return n.commit(w, catalog.Command{Kind: catalog.Move, Ties: []catalog.Tie{{Name: name, Process: b.To}}})
+}
+
+func (n *Node) serveDutyList(w http.ResponseWriter, _ *http.Request) {
+	all := []catalog.Duty{}
+	n.fsm.read(func(s *catalog.State) {
+		for _, name := range s.DutyNames() {
+			all = append(all, *s.Duties[name])
+		}
+	})
+	answer(w, all)
+}
+
+func (n *Node) serveDuty(w http.ResponseWriter, r *http.Request) {
+	var d *catalog.Duty
+	n.fsm.read(func(s *catalog.State) {
+		if found := s.Duties[r.PathValue("name")]; found != nil {
+			c := *found
+			c.Past = slices.Clone(c.Past)
+			d = &c
+		}
+	})
+	if d == nil {
+		http.Error(w, "unknown: no duty "+strconv.Quote(r.PathValue("name")), http.StatusNotFound)
+		return
+	}
+	answer(w, d)
+}
+
+func (n *Node) serveSessions(w http.ResponseWriter, _ *http.Request) {
+	all := []catalog.Session{}
+	n.fsm.read(func(s *catalog.State) {
+		for _, process := range s.Processes() {
+			all = append(all, *s.Sessions[process])
+		}
+	})
+	answer(w, all)
+}
--- a/internal/control/fsm.go
+++ b/internal/control/fsm.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/raft"
 
 	"molepaddle/internal/catalog"
+	"molepaddle/internal/duty"
 	"molepaddle/internal/endpoints"
 )
 
@@ -19,6 +20,7 @@
 	index   uint64 // of the last entry that it was applied
 	changed func() // the version or the list may be another
 	broken  func(error)
+	stirred chan struct{} // closed when what a session is to do may be another; nil: nobody waits
 }
 
 // Apply is raft's: one committed entry.
@@ -29,10 +31,13 @@
 		return catalog.Result{Code: catalog.Unsupported}
 	}
 	f.mu.Lock()
-	before := f.state.Seq
+	before, rev := f.state.Seq, f.state.Rev
 	r := f.state.Apply(&c)
 	f.index = l.Index
 	after := f.state.Seq
+	if f.state.Rev != rev || c.Kind == catalog.Close {
+		f.stir()
+	}
 	f.mu.Unlock()
 	if r.Code == catalog.Unsupported {
 		// The others may have understood it: to go on would be another state under one name.
@@ -44,6 +49,25 @@
 	return r
 }
 
+// stir wakes whoever waits for what a session is to do. The caller holds the lock.
+func (f *fsm) stir() {
+	if f.stirred != nil {
+		close(f.stirred)
+		f.stirred = nil
+	}
+}
+
+// tasks is what a session is to do, and what is closed when that may be another.
+func (f *fsm) tasks(process, id string) (t duty.Tasks, ok bool, stirred <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stirred == nil {
+		f.stirred = make(chan struct{})
+	}
+	t.Tasks, t.Rev, ok = f.state.Tasks(process, id)
+	return t, ok, f.stirred
+}
+
 // Snapshot is raft's: the state as it is now.
 func (f *fsm) Snapshot() (raft.FSMSnapshot, error) {
 	f.mu.RLock()
@@ -71,6 +95,7 @@
 	}
 	f.mu.Lock()
 	f.state = s
+	f.stir()
 	f.mu.Unlock()
 	f.changed()
 	return nil
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"molepaddle/internal/catalog"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promauto"
@@ -14,6 +16,10 @@
 	decided   *prometheus.CounterVec
 	calls     *prometheus.CounterVec
 	moved     prometheus.Counter
+	hands     *prometheus.CounterVec
+	saved     prometheus.Counter
+	audited   prometheus.Counter
+	unlike    prometheus.Gauge
 }
 
 func newMetrics(n *Node) *metrics {
@@ -47,7 +53,34 @@
 	fanOut("watches_lagged_total", "Times that a watch was too far behind and got the whole list.", func(h *hub) int64 { return h.lagged })
 	f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_calls_refused_total", Help: "Calls sent away because there were too many."},
 		func() float64 { return float64(n.calls.refused.Load()) })
+	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_duties_held_here", Help: "Duties whose functions run here."}, func() float64 {
+		if n.holder == nil {
+			return 0
+		}
+		return float64(n.holder.Holds())
+	})
+	f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_duties_overdue_total", Help: "Functions of duties that did not return in time."}, func() float64 {
+		if n.holder == nil {
+			return 0
+		}
+		return float64(n.holder.Overdue())
+	})
+	for name, of := range map[string]func(d *catalog.Duty) bool{"held": func(d *catalog.Duty) bool { return d.Holder != "" },
+		"free": func(d *catalog.Duty) bool { return d.Holder == "" && d.Parked == "" }, "parked": func(d *catalog.Duty) bool { return d.Parked != "" }} {
+		f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_duties_" + name, Help: "Duties that are " + name + "."}, func() (count float64) {
+			n.fsm.read(func(s *catalog.State) {
+				for _, d := range s.Duties {
+					count += truth(of(d))
+				}
+			})
+			return count
+		})
+	}
 	return &metrics{registry: r,
+		hands:     f.NewCounterVec(prometheus.CounterOpts{Name: "steward_duties_decided_total", Help: "What the leader decided on duties, by command."}, []string{"command"}),
+		saved:     f.NewCounter(prometheus.CounterOpts{Name: "steward_copies_saved_total", Help: "Copies of the state that were kept."}),
+		audited:   f.NewCounter(prometheus.CounterOpts{Name: "steward_audits_total", Help: "Times that the list was compared with what servers say."}),
+		unlike:    f.NewGauge(prometheus.GaugeOpts{Name: "steward_audit_unlike", Help: "Servers that are listed as ready and did not say so at the last audit."}),
 		elections: f.NewCounter(prometheus.CounterOpts{Name: "steward_terms_led_total", Help: "Times that this steward began to lead."}),
 		moved:     f.NewCounter(prometheus.CounterOpts{Name: "steward_watches_moved_total", Help: "Watches that were sent to other stewards, a few at a time."}),
 		commit: f.NewHistogram(prometheus.HistogramOpts{Name: "steward_commit_seconds", Help: "From a proposal to its result.",
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/raft"
 
 	"molepaddle/internal/catalog"
+	"molepaddle/internal/duty"
 	"molepaddle/internal/endpoints"
 )
 
@@ -55,10 +56,16 @@
 
 	lead     sync.Mutex
 	leases   *catalog.Leases // while it leads and has heard all that was committed before
-	base     time.Duration   // the state's clock when it began to lead
+	tenures  *catalog.Tenures
+	base     time.Duration // the state's clock when it began to lead
 	ledSince time.Time
 
 	reads    barriers
+	proofs   barriers // that it leads
+	holder   *duty.Runner
+	retire   context.CancelFunc // ends the holder
+	retired  chan struct{}
+	polls    atomic.Int64 // sessions that wait for their tasks
 	others   lookout
 	lagged   atomic.Int64 // ns by which this steward lags behind what the leader had committed
 	draining atomic.Bool
@@ -97,6 +104,7 @@
 	}
 	n.own(n.follow)
 	n.own(n.tend)
+	n.serveDuties()
 	return nil
 }
 
@@ -267,8 +275,9 @@
 	}
 }
 
-// Close ends the steward: leadership is handed over first, then its watches are.
+// Close ends the steward: its duties are handed over first, then leadership, then its watches.
 func (n *Node) Close() {
+	n.leaveDuties()
 	if n.raft() != nil && n.raft().State() == raft.Leader && len(n.voters()) > 1 {
 		if err := n.raft().LeadershipTransfer().Error(); err != nil {
 			n.log.Warn("leadership was not handed over", "err", err)
@@ -331,7 +340,7 @@
 				n.end()
 			}
 		case <-tick.C:
-			n.decide()
+			n.assign()
 		case <-n.ctx.Done():
 			n.end()
 			return
@@ -351,6 +360,7 @@
 		n.base, seq = s.Clock, s.Seq
 		n.ledSince = time.Now()
 		n.leases = catalog.Lead(n.c.leases(), s, s.Clock)
+		n.tenures = catalog.Succeed(s.Clock)
 	})
 	n.lead.Unlock()
 	n.m.elections.Inc()
@@ -358,6 +368,7 @@
 	if seq == 0 {
 		n.raise(0)
 	}
+	n.defineOwn()
 }
 
 func (n *Node) end() {
@@ -366,7 +377,7 @@
 	if n.leases != nil {
 		n.log.Info("leads no longer")
 	}
-	n.leases = nil
+	n.leases, n.tenures = nil, nil
 }
 
 // raise brings the version to where no reader has been: versions never go back, also where
@@ -417,11 +428,11 @@
 	return f.Response().(catalog.Result), nil
 }
 
-// decide proposes what leases and damping call for.
-func (n *Node) decide() {
+// sweep proposes what leases and damping call for, under the fence of the duty.
+func (n *Node) sweep(fence int64) error {
 	now, leads := n.elapsed()
 	if !leads {
-		return
+		return errNoLeader
 	}
 	var d catalog.Decision
 	n.lead.Lock()
@@ -429,21 +440,23 @@
 		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now) })
 	}
 	n.lead.Unlock()
-	if d.Empty() {
-		return
-	}
 	for _, c := range []catalog.Command{{Kind: catalog.Lapse, Refs: d.Lapse}, {Kind: catalog.Hold, Refs: d.Hold},
 		{Kind: catalog.Seen, Refs: d.Seen}, {Kind: catalog.Admit, Refs: d.Admit}} {
 		if len(c.Refs) == 0 {
 			continue
 		}
-		if _, err := n.propose(c); err != nil {
-			n.log.Warn("not proposed", "command", c.Kind, "err", err)
-			return
+		c.Under, c.Fence = sweepDuty, fence
+		r, err := n.propose(c)
+		if err != nil {
+			return err
+		}
+		if r.Code == catalog.Fenced {
+			return &refusal{r}
 		}
 		n.m.decided.WithLabelValues(string(c.Kind)).Add(float64(len(c.Refs)))
-		n.log.Info("decided", "command", c.Kind, "servers", len(c.Refs), "first", c.Refs[0].Name)
+		n.log.Info("decided", "command", c.Kind, "servers", len(c.Refs), "first", c.Refs[0].Name, "fence", fence)
 	}
+	return nil
 }
 
 // renew notes that a process was heard; on the leader only, and in no log.
@@ -466,8 +479,8 @@
 	return codes, nil
 }
 
-// barriers makes reads linearizable: each waits for a barrier in the log that began after
-// the read did. Those that come while one is under way share the next.
+// barriers shares what many calls wait for: each waits for one that began after it came.
+// Those that come while one is under way share the next.
 type barriers struct {
 	mu   sync.Mutex
 	next *barrier
@@ -479,8 +492,7 @@
 	err  error
 }
 
-func (n *Node) barrier(ctx context.Context) error {
-	b := &n.reads
+func (n *Node) wait(ctx context.Context, b *barriers, pass func() error) error {
 	b.mu.Lock()
 	if b.next == nil {
 		b.next = &barrier{done: make(chan struct{})}
@@ -488,7 +500,7 @@
 	mine := b.next
 	if !b.busy {
 		b.busy = true
-		n.own(n.runBarriers)
+		n.own(func() { n.run(b, pass) })
 	}
 	b.mu.Unlock()
 	select {
@@ -499,8 +511,7 @@
 	}
 }
 
-func (n *Node) runBarriers() {
-	b := &n.reads
+func (n *Node) run(b *barriers, pass func() error) {
 	for {
 		b.mu.Lock()
 		mine := b.next
@@ -511,15 +522,23 @@
 		}
 		b.next = nil
 		b.mu.Unlock()
-		if _, leads := n.elapsed(); !leads {
-			mine.err = errNoLeader
-		} else if err := n.raft().Barrier(applyWait).Error(); err != nil {
+		if _, leads := n.elapsed(); !leads || pass() != nil {
 			mine.err = errNoLeader
 		}
 		close(mine.done)
 	}
 }
 
+// barrier makes reads linearizable: it passes once all is applied that was in the log.
+func (n *Node) barrier(ctx context.Context) error {
+	return n.wait(ctx, &n.reads, func() error { return n.raft().Barrier(applyWait).Error() })
+}
+
+// prove passes if this steward led when it began: a quorum has said so since.
+func (n *Node) prove(ctx context.Context) error {
+	return n.wait(ctx, &n.proofs, func() error { return n.raft().VerifyLeader().Error() })
+}
+
 // leader is the name of the leader, "" if none is known.
 func (n *Node) leader() string {
 	if n.raft() == nil {
--- a/internal/lab/experiment/stewards.go
+++ b/internal/lab/experiment/stewards.go
@@ -391,6 +391,14 @@
 	return l, err == nil
 }
 
+// started is told of a new process of an agent, whose configuration may list less than what
+// the checker was told of: what is ready is to be told again, and as soon as it is known.
+func (s *stewards) started(agent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.told[agent], func(_ int, h endpoints.Host) bool { return h.Health == endpoints.Ready })
+}
+
 // figures tells how changes spread.
 func (s *stewards) figures(t *Total) {
 	each, toLast := s.learnt()
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -465,6 +465,10 @@
 	if starts {
 		l.checker.Started(a.index)
 		l.disc.Tell(a.index, &known)
+		if l.list != nil {
+			l.list.started(a.index)
+			l.list.judge()
+		}
 	}
 	return nil
 }
--- a/internal/lab/server/http.go
+++ b/internal/lab/server/http.go
@@ -127,6 +127,10 @@
 	fresh := !c.used.Swap(true)
 	id := r.Header.Get("Request-Id")
 	if id == "" {
+		if r.Method == http.MethodPost && r.URL.Path == "/admin/act" {
+			s.Acts.ServeHTTP(w, r)
+			return
+		}
 		s.probe(w, r)
 		return
 	}
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -140,6 +140,9 @@
 	Config
 	Counters
 
+	// Acts is what was done here under duties. The machine keeps it: a new process knows it.
+	Acts *check.Acts
+
 	env   *Env
 	ln    *loopback.Listener
 	conns loopback.Set
@@ -175,7 +178,7 @@
 // New makes a server that listens at an address of its own and is not started. The
 // seed draws the noise of its work and its reports.
 func New(c Config, env *Env, addr string, seed uint64) (*Server, error) {
-	s := &Server{Config: c, env: env, in: loopback.NewConns(), rng: rand.New(rand.NewPCG(seed, uint64(c.Index))), slower: 1}
+	s := &Server{Config: c, Acts: check.NewActs(), env: env, in: loopback.NewConns(), rng: rand.New(rand.NewPCG(seed, uint64(c.Index))), slower: 1}
 	s.gate.open = make(chan struct{})
 	close(s.gate.open)
 	ln, err := loopback.Listen(addr, s.in.Put)
