--- a/cmd/steward/bench_test.go
+++ b/cmd/steward/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -95,7 +96,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				var mu sync.Mutex
 				var firsts []time.Duration
-				var got int
+				var got, backAgain int
 				var calls atomic.Int64
 				began := time.Now()
 				var all sync.WaitGroup
@@ -103,13 +104,19 @@
 					all.Add(1)
 					go func() {
 						defer all.Done()
-						first := true
+						first, back := true, false
+						var seq int64
 						c := endpoints.NewClient(endpoints.ClientConfig{Addresses: f.client(f.names...).Addrs, Order: uint64(i),
 							Fleet: n, NeverOlder: true, Transport: counting{&http.Transport{DisableKeepAlives: true}, &calls}})
 						for ctx.Err() == nil { // each round is one that the policy of an agent begins
-							_ = c.Watch(ctx, 0, func(endpoints.List) {
+							_ = c.Watch(ctx, seq, func(l endpoints.List) {
+								seq = l.Seq
 								mu.Lock()
 								defer mu.Unlock()
+								if !back && slices.ContainsFunc(l.Hosts, func(h endpoints.Host) bool { return h.Host == "back" }) {
+									back = true
+									backAgain++
+								}
 								if got++; first {
 									first, firsts = false, append(firsts, time.Since(began))
 								}
@@ -136,6 +143,19 @@
 				to, rss := f.usage(lead)
 				b.ReportMetric(float64(to-from)/float64(changes*every), "cores-of-the-leader")
 				b.ReportMetric(rss, "MB-of-the-leader")
+				// All stewards end and start at once: each reader has to come back, by itself.
+				made := calls.Load()
+				for _, name := range f.names {
+					f.kill(name)
+				}
+				died := time.Now()
+				for _, name := range f.names {
+					f.start(name)
+				}
+				f.register("back", 1)
+				f.until("all are back", func() bool { mu.Lock(); defer mu.Unlock(); return backAgain == n })
+				b.ReportMetric(time.Since(died).Seconds(), "s-until-all-are-back")
+				b.ReportMetric(float64(calls.Load()-made)/float64(n), "calls/watch-to-come-back")
 				cancel()
 				all.Wait()
 			}
@@ -268,3 +288,27 @@
 		})
 	}
 }
+
+// BenchmarkUnheld plays a fault every ten seconds for ten minutes, at a lease of 3 s, and
+// measures for what share of the time a duty had nobody who acted.
+func BenchmarkUnheld(b *testing.B) {
+	f := newFleet(b, 3)
+	c := f.crew(4, 10, 0.95, 1, 1.05)
+	for i := range 4 {
+		c.define(fmt.Sprint("work.", i), 3*time.Second)
+	}
+	rng := rand.New(rand.NewPCG(77, 1))
+	for end := time.Now().Add(10 * time.Minute); time.Now().Before(end); {
+		next := time.Now().Add(10 * time.Second)
+		c.fault(rng)
+		time.Sleep(time.Until(next))
+	}
+	v := c.acts.Judge()
+	b.ReportMetric(100*float64(v.Idle)/float64(v.All), "percent-unheld")
+	b.ReportMetric(float64(v.Terms), "terms")
+	b.ReportMetric(float64(v.Refused), "acts-refused")
+	b.ReportMetric(0, "ns/op")
+	if len(v.Broke) > 0 {
+		b.Errorf("%d overlaps: %s", len(v.Broke), v.Broke[0])
+	}
+}
--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -337,24 +337,28 @@
 	t.Logf("gaps of planned moves: %v", c.acts.Judge().Gaps)
 	c.held()
 
-	// One that stands still is not ready: what is moved to it stays.
+	// One that stands still, or has just died, is not ready: what is moved to it stays.
 	deaf := c.names[0]
 	if deaf == a.Process {
 		deaf = c.names[1]
 	}
-	c.signal(deaf, syscall.SIGSTOP)
-	if err := c.order("work.a", "move", deaf); err != nil {
-		t.Fatal(err)
-	}
-	f.until("the move is given up", func() bool {
-		d, err := f.client(f.names...).Duty(context.Background(), "work.a")
-		return err == nil && d.Next == "" && d.Holder == a.Process
-	})
-	now := monotonic()
-	if still := c.acted("work.a", "", now); still.Process != a.Process || still.Fence != a.Fence {
-		t.Errorf("held by %s under %d, then by %s under %d", a.Process, a.Fence, still.Process, still.Fence)
+	for _, does := range []struct{ begin, end func() }{
+		{func() { c.signal(deaf, syscall.SIGSTOP) }, func() { c.signal(deaf, syscall.SIGCONT) }},
+		{func() { c.kill(deaf) }, func() { c.start(deaf) }},
+	} {
+		does.begin()
+		if err := c.order("work.a", "move", deaf); err != nil {
+			t.Fatal(err)
+		}
+		f.until("the move is given up", func() bool {
+			d, err := f.client(f.names...).Duty(context.Background(), "work.a")
+			return err == nil && d.Next == "" && d.Holder == a.Process
+		})
+		if still := c.acted("work.a", "", monotonic()); still.Process != a.Process || still.Fence != a.Fence {
+			t.Errorf("held by %s under %d, then by %s under %d", a.Process, a.Fence, still.Process, still.Fence)
+		}
+		does.end()
 	}
-	c.signal(deaf, syscall.SIGCONT)
 
 	// A second process of a name waits until the first has gone.
 	twin := f.sup.Add(c.procs[a.Process].Spec)
@@ -486,6 +490,35 @@
 	})
 }
 
+// fault does one thing to one worker or steward, and ends it.
+func (c *crew) fault(rng *rand.Rand) {
+	w := c.names[rng.IntN(len(c.names))]
+	lasts := time.Duration(300+rng.IntN(2200)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0, 1:
+		fault(c.f.t, c.f, rng)
+	case 2:
+		c.kill(w)
+		time.Sleep(lasts / 3)
+		c.start(w)
+	case 3, 4:
+		c.signal(w, syscall.SIGSTOP)
+		time.Sleep(lasts)
+		c.signal(w, syscall.SIGCONT)
+	case 5:
+		c.cut(w, rng.IntN(2) == 0, true)
+		time.Sleep(lasts)
+		c.cut(w, false, false)
+	case 6:
+		_ = c.order(fmt.Sprint("work.", rng.IntN(4)), []string{"move", "revoke"}[rng.IntN(2)], "")
+	case 7:
+		ended := c.procs[w].Ended()
+		c.signal(w, syscall.SIGTERM)
+		<-ended
+		c.start(w)
+	}
+}
+
 func schedules(t *testing.T, seeds int, played func(check.Verdict)) {
 	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -500,31 +533,7 @@
 				c.acted(fmt.Sprint("work.", i), "", 0)
 			}
 			for range 8 {
-				w := c.names[rng.IntN(len(c.names))]
-				lasts := time.Duration(300+rng.IntN(2200)) * time.Millisecond
-				switch rng.IntN(8) {
-				case 0, 1:
-					fault(t, f, rng)
-				case 2:
-					c.kill(w)
-					time.Sleep(lasts / 3)
-					c.start(w)
-				case 3, 4:
-					c.signal(w, syscall.SIGSTOP)
-					time.Sleep(lasts)
-					c.signal(w, syscall.SIGCONT)
-				case 5:
-					c.cut(w, rng.IntN(2) == 0, true)
-					time.Sleep(lasts)
-					c.cut(w, false, false)
-				case 6:
-					_ = c.order(fmt.Sprint("work.", rng.IntN(4)), []string{"move", "revoke"}[rng.IntN(2)], "")
-				case 7:
-					ended := c.procs[w].Ended()
-					c.signal(w, syscall.SIGTERM)
-					<-ended
-					c.start(w)
-				}
+				c.fault(rng)
 				time.Sleep(time.Duration(rng.IntN(500)) * time.Millisecond)
 			}
 			for i := range 4 { // one of them may have been blamed for the ends of its holders
--- a/cmd/steward/linear_test.go
+++ b/cmd/steward/linear_test.go
@@ -226,7 +226,7 @@
 }
 
 // fault does one thing to one steward, mostly to the one that leads, and ends it.
-func fault(t *testing.T, f *fleet, rng *rand.Rand) {
+func fault(t testing.TB, f *fleet, rng *rand.Rand) {
 	name := f.names[rng.IntN(3)]
 	if rng.IntN(3) > 0 {
 		for _, n := range f.names {
--- a/internal/duty/explore_test.go
+++ b/internal/duty/explore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"runtime"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -49,6 +50,7 @@
 	step    = 50 * time.Millisecond
 	modTTL  = 2 * time.Second
 	horizon = 130 // steps
+	coarse  = 10
 )
 
 type leader struct {
@@ -300,15 +302,11 @@
 }
 
 // explore plays all combinations, and returns the first that breaks something.
-func explore(k knobs, fine bool) (plays, terms int, broke string) {
-	stride := 10
-	if fine {
-		stride = 1
-	}
+func explore(k knobs, stride int) (plays, terms int, broke string) {
 	var all []faults
 	none := faults{pauseWho: -1, spoilt: -1, change: -1, move: -1, rateA: 1, rateB: 1, rateL: 1}
 	clocks := [][3]float64{{0.95, 1, 1.05}, {1, 1, 1}, {1, 0.95, 1.05}, {1.05, 0.95, 0.95}}
-	if !fine {
+	if stride == coarse {
 		clocks = clocks[:2]
 	}
 	for _, rates := range clocks {
@@ -398,10 +396,17 @@
 // However a pause, a loss, a delay, a change of leaders and clocks that are 5 % off fall
 // together, no two claimants believe to hold a duty within their own time, and a resource
 // that keeps the highest fence takes no act of an older term. Without the margin, the
-// fence, the new leader's wait or the proof of leadership, one at a time, they do.
+// fence, the new leader's wait or the proof of leadership, one at a time, they do. EXPLORE
+// is how many steps lie between the times that are tried.
 func TestExplore(t *testing.T) {
-	fine := os.Getenv("EXPLORE") == "fine"
-	plays, terms, broke := explore(knobs{}, fine)
+	stride := coarse
+	if text := os.Getenv("EXPLORE"); text != "" {
+		var err error
+		if stride, err = strconv.Atoi(text); err != nil || stride < 1 {
+			t.Fatalf("EXPLORE: no number of steps: %q", text)
+		}
+	}
+	plays, terms, broke := explore(knobs{}, stride)
 	if broke != "" {
 		t.Fatalf("after %d plays: %s", plays, broke)
 	}
@@ -411,7 +416,7 @@
 	t.Logf("%d plays, %d terms", plays, terms)
 	for what, k := range map[string]knobs{"margin": {noMargin: true}, "fence": {noFence: true}, "new leader's wait": {noWait: true},
 		"proof of leadership": {noVerify: true}} {
-		plays, _, broke := explore(k, fine)
+		plays, _, broke := explore(k, stride)
 		if broke == "" {
 			t.Errorf("without the %s nothing broke in %d plays", what, plays)
 		} else {
