Start a steward over a folder that it may only read

Cause: the list service is to refuse a read-only folder clearly and lose nothing; no test injected it, as the tests may run as root, whom no mode binds. Change: TestDamagedFolder starts one without rights over the folder of a steward that ran.

--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -384,6 +386,9 @@
 	refused("in use", f.data(name), "another process uses")
 	f.kill(name)
 	refused("no folder", f.file(name), "data: ")
+	if text := readOnly(t, f.data(name)); strings.Count(text, "\n") != 1 || !strings.Contains(text, "data: ") || !strings.Contains(text, "permission denied") {
+		t.Errorf("a folder that may not be written: said %q", text)
+	}
 	path := filepath.Join(f.data(name), "raft.db")
 	good, err := os.ReadFile(path)
 	if err != nil {
@@ -415,6 +420,34 @@
 	})
 }
 
+// readOnly starts a steward over a folder that it may only read, and returns what it says.
+func readOnly(t *testing.T, data string) string {
+	t.Helper()
+	exe, _ := os.Executable()
+	text, err := os.ReadFile(exe)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	own := filepath.Join(dir, "steward")
+	if err := errors.Join(os.WriteFile(own, text, 0o755), os.Chmod(dir, 0o755), os.Chmod(filepath.Dir(dir), 0o755), os.Chmod(data, 0o555)); err != nil {
+		t.Fatal(err)
+	}
+	defer os.Chmod(data, 0o755)
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	cmd := exec.CommandContext(ctx, own, "serve", "--data", data, "--listen", "127.0.0.1:0", "--raft", "127.0.0.1:0")
+	cmd.Env, cmd.Dir = []string{"STEWARD_CHILD=1"}, dir
+	if os.Getuid() == 0 { // whom no mode binds
+		cmd.SysProcAttr = &syscall.SysProcAttr{Credential: &syscall.Credential{Uid: 65534, Gid: 65534}}
+	}
+	said, err := cmd.CombinedOutput()
+	if err == nil {
+		t.Error("it ran over a folder that it may not write")
+	}
+	return string(said)
+}
+
 // Where the disk takes no more, a steward refuses what it can't keep, or ends with a line
 // that says so; what it acknowledged is there when there is room again. Of three, the two
 // others go on.
