--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/signal"
@@ -23,70 +20,31 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
-	"golang.org/x/sys/unix"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/control"
-	"molepaddle/internal/duty"
 	"molepaddle/internal/lab/check"
 	"molepaddle/internal/lab/link"
 	"molepaddle/internal/lab/process"
+	"molepaddle/internal/lab/worker"
 )
 
 func monotonic() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+	now, err := worker.Monotonic()
+	if err != nil {
 		panic(err)
 	}
-	return time.Duration(ts.Nano())
-}
-
-// driftClock is a clock that runs at another rate than the machine's.
-type driftClock struct {
-	began time.Time
-	rate  float64
+	return now
 }
 
-func (c driftClock) Now() time.Duration { return time.Duration(float64(time.Since(c.began)) * c.rate) }
-
-func (c driftClock) After(d time.Duration) (<-chan time.Time, func() bool) {
-	t := time.NewTimer(time.Duration(float64(d) / c.rate))
-	return t.C, t.Stop
-}
-
-// workerMain is a process that holds duties: it acts at a resource as long as it may. Its
-// environment tells all it needs. "work" duties act, "fail" ones fail at once, "kill" ones
-// end the process.
+// workerMain is a process that holds duties. Its environment tells all it needs.
 func workerMain() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
-	rate, _ := strconv.ParseFloat(os.Getenv("WORKER_RATE"), 64)
-	most, _ := strconv.Atoi(os.Getenv("WORKER_CAP"))
-	resource := os.Getenv("WORKER_RESOURCE")
-	name := os.Getenv("WORKER_NAME")
-	client := &http.Client{Timeout: 300 * time.Millisecond}
-	work := func(ctx context.Context, d string, fence int64) error {
-		for ctx.Err() == nil {
-			a := check.Act{Duty: d, Process: name, Fence: fence, Mono: monotonic()}
-			if ctx.Err() != nil { // looked at the clock of the worker after that of the machine
-				return nil
-			}
-			text, _ := json.Marshal(a)
-			if resp, err := client.Post("http://"+resource+"/admin/act", "application/json", bytes.NewReader(text)); err == nil {
-				resp.Body.Close()
-			}
-			time.Sleep(5 * time.Millisecond)
-		}
-		return nil
-	}
-	r := duty.NewRunner(duty.Config{Process: name, Zone: os.Getenv("WORKER_ZONE"), Cap: most,
-		Service: control.NewClient(strings.Split(os.Getenv("WORKER_AT"), ","), 15*time.Second),
-		Log:     slog.New(slog.NewTextHandler(os.Stderr, nil)).With("worker", name), Clock: driftClock{time.Now(), rate},
-		Kinds: map[string]duty.Function{"work": work,
-			"idle": func(ctx context.Context, _ string, _ int64) error { <-ctx.Done(); return nil },
-			"fail": func(context.Context, string, int64) error { return errors.New("it fails") },
-			"kill": func(context.Context, string, int64) error { os.Exit(3); return nil }}})
-	r.Run(ctx)
+	c := worker.Config{Name: os.Getenv("WORKER_NAME"), At: strings.Split(os.Getenv("WORKER_AT"), ","), Places: []string{os.Getenv("WORKER_RESOURCE")}}
+	c.Rate, _ = strconv.ParseFloat(os.Getenv("WORKER_RATE"), 64)
+	c.Cap, _ = strconv.Atoi(os.Getenv("WORKER_CAP"))
+	worker.Run(ctx, c, slog.New(slog.NewTextHandler(os.Stderr, nil)).With("worker", c.Name))
 }
 
 // crew is workers, with a link from each to each steward.
@@ -552,6 +510,39 @@
 	}
 }
 
+// A leader that was stopped and wakes finds renewals that came meanwhile, and may think that
+// it still leads: it answers none for a session that is over by the next leader's word.
+func TestWakesToRenewals(t *testing.T) {
+	f := newFleet(t, 3)
+	for round := range 4 {
+		name, id := fmt.Sprint("p-", round), fmt.Sprint("id-", round)
+		ctx, cancel := context.WithTimeout(context.Background(), soon)
+		if err := f.client(f.names...).OpenSession(ctx, catalog.Session{Process: name, ID: id}); err != nil {
+			t.Fatal(err)
+		}
+		old := f.leader()
+		if err := f.all[old].proc.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		f.until("the session is over", func() bool {
+			return f.client(f.others(old)...).EndSession(ctx, name, id, false) == nil
+		})
+		answers := f.heldBack(old, 40, func(ctx context.Context, c *control.Client) bool {
+			_, err := c.RenewSession(ctx, name, id, 0)
+			return err == nil
+		})
+		if err := f.all[old].proc.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		for range 40 {
+			if <-answers {
+				t.Fatalf("round %d: a renewal was answered of a session that was over before it was sent", round)
+			}
+		}
+		cancel()
+	}
+}
+
 // An operation on one duty by one session.
 type claimIn struct {
 	duty, kind, session string // kind: "claim", "give up" or "read"
@@ -658,6 +649,24 @@
 					t.Fatal(err)
 				}
 				rng := rand.New(rand.NewPCG(uint64(seed), uint64(n)))
+				// again has one call in four come a second time, at another steward and behind or
+				// before what was said since: like one whose answer was lost, it may count or not.
+				again := func(in claimIn, at time.Duration, call func(*control.Client, context.Context)) {
+					if rng.IntN(4) > 0 {
+						return
+					}
+					c, late := control.NewClient([]string{f.all[f.names[rng.IntN(3)]].http}, 1500*time.Millisecond), time.Duration(rng.IntN(150))*time.Millisecond
+					mu.Lock()
+					history = append(history, porcupine.Operation{ClientId: n, Input: in, Output: claimOut{lost: true}, Call: int64(at), Return: math.MaxInt64})
+					kinds["again"]++
+					mu.Unlock()
+					clients.Add(1)
+					go func() {
+						defer clients.Done()
+						time.Sleep(late)
+						call(c, context.Background())
+					}()
+				}
 				clients.Add(1)
 				go func() {
 					defer clients.Done()
@@ -675,13 +684,16 @@
 						var err error
 						switch in.kind {
 						case "claim":
+							again(in, at, func(c *control.Client, ctx context.Context) { _, _ = c.Claim(ctx, in.duty, process, id) })
 							var r catalog.Result
 							if r, err = c.Claim(call, in.duty, process, id); err == nil {
 								out = claimOut{ok: true, fence: r.Fence}
 								fences[in.duty] = r.Fence
 							}
 						case "give up":
-							if err = c.GiveUp(call, catalog.Tie{Name: in.duty, Process: process, Session: id, Fence: in.fence}); err == nil {
+							tie := catalog.Tie{Name: in.duty, Process: process, Session: id, Fence: in.fence}
+							again(in, at, func(c *control.Client, ctx context.Context) { _ = c.GiveUp(ctx, tie) })
+							if err = c.GiveUp(call, tie); err == nil {
 								out.ok = true
 							}
 						default:
@@ -716,7 +728,7 @@
 			}
 			cancel()
 			clients.Wait()
-			if kinds["claimtrue"] < 10 || kinds["claimfalse"] < 10 || kinds["give uptrue"] < 5 || kinds["readtrue"] < 10 {
+			if kinds["claimtrue"] < 10 || kinds["claimfalse"] < 10 || kinds["give uptrue"] < 5 || kinds["readtrue"] < 10 || kinds["again"] < 5 {
 				t.Errorf("too little was done to tell: %v", kinds)
 			}
 			sort.SliceStable(history, func(i, j int) bool { return history[i].Call < history[j].Call })
--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -662,6 +662,24 @@
 	}
 }
 
+// heldBack makes calls to a steward that stands still, and returns once all have been sent.
+// What each came to arrives once it goes on.
+func (f *fleet) heldBack(name string, calls int, do func(ctx context.Context, c *control.Client) bool) <-chan bool {
+	out, sent := make(chan bool, calls), make(chan struct{}, calls)
+	for range calls {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), soon)
+			defer cancel()
+			ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sent <- struct{}{} }})
+			out <- do(ctx, control.NewClient([]string{f.all[name].http}, soon))
+		}()
+	}
+	for range calls {
+		<-sent
+	}
+	return out
+}
+
 // A leader that was stopped and wakes finds reads as of now that came after a write at the
 // next leader, and may think that it still leads: it answers none with what was so before.
 func TestWakesToReads(t *testing.T) {
@@ -674,26 +692,20 @@
 		}
 		f.register("s", float64(round+2), f.others(old)...)
 		const reads = 40
-		born, sent := make(chan float64, reads), make(chan struct{}, reads)
-		for range reads {
-			go func() {
-				ctx, cancel := context.WithTimeout(context.Background(), soon)
-				defer cancel()
-				ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { sent <- struct{}{} }})
-				e, err := control.NewClient([]string{f.all[old].http}, soon).Server(ctx, "s", true)
-				if err != nil {
-					e.Host.BornMs = -1
-				}
-				born <- e.Host.BornMs
-			}()
-		}
-		for range reads {
-			<-sent
-		}
+		born := make(chan float64, reads)
+		read := f.heldBack(old, reads, func(ctx context.Context, c *control.Client) bool {
+			e, err := c.Server(ctx, "s", true)
+			if err != nil {
+				e.Host.BornMs = -1
+			}
+			born <- e.Host.BornMs
+			return true
+		})
 		if err := f.all[old].proc.Signal(syscall.SIGCONT); err != nil {
 			t.Fatal(err)
 		}
 		for range reads {
+			<-read
 			if got := <-born; got >= 0 && got != float64(round+2) {
 				t.Fatalf("round %d: a read that came after the write of %d was answered with %v", round, round+2, got)
 			}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -17,6 +17,7 @@
 // is asked last from then on.
 type Client struct {
 	Addrs []string
+	Table func() []string // the addresses as they are now, in place of those; nil: those
 	HTTP  *http.Client
 	first atomic.Int64
 }
@@ -31,8 +32,12 @@
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
 	err := errors.New("no address of a steward")
 	first := c.first.Load()
-	for i := range c.Addrs {
-		addr := c.Addrs[(int(first)+i)%len(c.Addrs)]
+	addrs := c.Addrs
+	if c.Table != nil {
+		addrs = c.Table()
+	}
+	for i := range addrs {
+		addr := addrs[(int(first)+i)%len(addrs)]
 		err = call(ctx, c.HTTP, method, "http://"+addr+path, body, into)
 		var refused *HTTPError
 		if err != nil && !errors.As(err, &refused) {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -72,14 +73,10 @@
 
 // serveDuties has this steward take its part of the duties.
 func (n *Node) serveDuties() {
-	var addrs []string
-	addrs = append(addrs, n.c.Listen)
-	for _, name := range n.c.others() {
-		addrs = append(addrs, (*n.table.Load())[name].HTTP)
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	n.retire, n.retired = stop, make(chan struct{})
-	c := NewClient(addrs, pollWait+5*time.Second)
+	c := NewClient(nil, pollWait+5*time.Second)
+	c.Table = n.addresses
 	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
 		Kinds: map[string]duty.Function{sweepDuty: n.doSweep(c), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c)}})
 	go func() {
@@ -88,6 +85,18 @@
 	}()
 }
 
+// addresses are those of all stewards as the table has them now, this one's first.
+func (n *Node) addresses() []string {
+	table := *n.table.Load()
+	addrs := []string{n.c.Listen}
+	for _, name := range slices.Sorted(maps.Keys(table)) {
+		if name != n.c.Name {
+			addrs = append(addrs, table[name].HTTP)
+		}
+	}
+	return addrs
+}
+
 // leaveDuties hands over what this steward holds.
 func (n *Node) leaveDuties() {
 	if n.retire != nil {
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -17,6 +17,7 @@
 	RuleUnknown   = "unknown request"
 	RuleLimit     = "over a limit"
 	RuleCrash     = "agent crashed"
+	RuleDuty      = "two holders of a duty at once"
 )
 
 const (
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -15,6 +15,7 @@
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
 
+	"molepaddle/internal/catalog"
 	"molepaddle/internal/lab/client"
 	"molepaddle/internal/lab/discovery"
 	"molepaddle/internal/lab/server"
@@ -33,6 +34,7 @@
 	Listen    string           `koanf:"listen"` // where the run's state can be asked for; "": nowhere
 	Agents    Agents           `koanf:"agents"`
 	Stewards  Stewards         `koanf:"stewards"`
+	Duties    Duties           `koanf:"duties"`
 	Servers   Servers          `koanf:"servers"`
 	Version   []server.Version `koanf:"version"`
 	Discovery discovery.Config `koanf:"discovery"`
@@ -131,6 +133,7 @@
 		Zones:    []string{"kurume-main", "yame-annex"},
 		Agents:   Agents{Count: 5, Command: "bin/molepaddle", Cores: 1, MemoryMB: 192, Sockets: 1024, Known: "now"},
 		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second, Agents: "all"},
+		Duties:   Duties{TTL: 3 * time.Second, Workers: 3, Cap: 100, Command: "bin/lab", Clocks: []float64{1}},
 		Servers: Servers{Count: 12, Cell: 4, Kind: []Kind{
 			{Name: "fast-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(1.8), Conns: defaultConns(), Reports: defaultReports()},
 			{Name: "slow-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(0.9), Conns: defaultConns(), Reports: defaultReports()}}},
@@ -247,9 +250,10 @@
 	"servers":   {"kill", "vanish", "drain", "slow", "neighbour", "errors", "resets", "lost", "spoilt", "replace"},
 	"agents":    {"kill", "stop", "restart", "hup"},
 	"stewards":  {"kill", "stop", "restart"},
+	"workers":   {"kill", "stop", "restart"},
 	"discovery": {"down"},
 	"load":      {"burst", "heavy"},
-	"link":      {"cut", "refuse", "delay", "slow", "reset"},
+	"link":      {"cut", "refuse", "delay", "slow", "reset", "loss"},
 }
 
 func (c *Config) validate() error {
@@ -273,6 +277,12 @@
 		{"stewards.lease_ttl", c.Stewards.LeaseTTL < 300*time.Millisecond, fmt.Sprintf("must be 300ms or above, is %v", c.Stewards.LeaseTTL)},
 		{"stewards.agents", c.Stewards.Agents != "all" && c.Stewards.Agents != "one", fmt.Sprintf("must be all or one, is %q", c.Stewards.Agents)},
 		{"stewards.watches", c.Stewards.Watches < 0 || c.Stewards.Watches > 5000, fmt.Sprintf("must be 0 to 5000, is %d", c.Stewards.Watches)},
+		{"duties.count", c.Duties.Count < 0 || c.Duties.Count > 5000, fmt.Sprintf("must be 0 to 5000, is %d", c.Duties.Count)},
+		{"duties.count", c.Duties.Count > 0 && c.Stewards.Count == 0, "duties are the stewards': there are none in this experiment"},
+		{"duties.ttl", c.Duties.TTL < catalog.MinTTL || c.Duties.TTL > catalog.MaxTTL, fmt.Sprintf("must be %v to %v, is %v", catalog.MinTTL, catalog.MaxTTL, c.Duties.TTL)},
+		{"duties.workers", c.Duties.Workers < 1 || c.Duties.Workers > 50, fmt.Sprintf("must be 1 to 50, is %d", c.Duties.Workers)},
+		{"duties.cap", c.Duties.Cap < 1, fmt.Sprintf("must be 1 or above, is %d", c.Duties.Cap)},
+		{"duties.clocks", len(c.Duties.Clocks) == 0 || slices.ContainsFunc(c.Duties.Clocks, func(r float64) bool { return !(r >= 0.5 && r <= 2) }), "must be rates of 0.5 to 2"},
 		{"servers.count", c.Servers.Count < 1 || c.Servers.Count > 200, fmt.Sprintf("must be 1 to 200, is %d", c.Servers.Count)},
 		{"servers.cell", c.Servers.Cell < 1, fmt.Sprintf("must be 1 or above, is %d", c.Servers.Cell)},
 		{"load.rate", !(c.Load.Rate >= 0), fmt.Sprintf("must be 0 or above, is %v", c.Load.Rate)},
@@ -426,7 +436,7 @@
 			return fmt.Errorf("%starget: with stewards the stand-in is not there", at)
 		case sort == "load" && f.After != "":
 			return fmt.Errorf("%safter: arrivals are drawn ahead, so a change of the load needs a time", at)
-		case needsSize[f.Kind] && sort != "link" && f.Size == 0 || sort == "link" && (f.Kind == "slow" || f.Kind == "reset") && f.Size == 0:
+		case needsSize[f.Kind] && sort != "link" && f.Size == 0 || sort == "link" && (f.Kind == "slow" || f.Kind == "reset" || f.Kind == "loss") && f.Size == 0:
 			return fmt.Errorf("%ssize: missing", at)
 		}
 	}
@@ -449,8 +459,9 @@
 	switch {
 	case err != nil:
 		return "", fmt.Errorf("to: %w", err)
+	case to == "stewards" && (sort == "workers" || sort == "stewards"):
 	case c.Stewards.Count > 0:
-		return "", errors.New("to: with stewards there are no links: their list has one address for all agents")
+		return "", errors.New("to: with stewards, links lead from workers and stewards to stewards: their list has one address for all agents")
 	case sort != "agents" || to != "servers" && to != "discovery":
 		return "", errors.New("to: links lead from agents to servers or to discovery")
 	}
@@ -460,7 +471,8 @@
 // Expectations by what they bound.
 var figures = []string{"served", "refused", "failed", "late", "p50_ms", "p99_ms", "attempts", "probes", "connections",
 	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores", "spread_p50_ms", "spread_p99_ms",
-	"last_agent_p50_ms", "last_agent_p99_ms"}
+	"last_agent_p50_ms",
+	"last_agent_p99_ms", "duty_idle", "duty_gap_max_ms", "duty_terms"}
 
 func (c *Config) validateExpects() error {
 	for i := range c.Expect {
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -223,6 +223,11 @@
 			if err := l.list.start(ctx); err != nil {
 				return err
 			}
+			if l.workers != nil {
+				if err := l.workers.start(ctx); err != nil {
+					return err
+				}
+			}
 		}
 		for i := range l.clients {
 			if l.policy != "" {
--- a/internal/lab/experiment/select.go
+++ b/internal/lab/experiment/select.go
@@ -10,7 +10,7 @@
 
 // A selector names the parties of a fault:
 //
-//	servers, agents, stewards, discovery, load
+//	servers, agents, stewards, workers, discovery, load
 //	servers@ZONE       those of a zone
 //	servers%0.3        three in ten of them, drawn from the seed
 //	servers#2          two of them, drawn from the seed
@@ -64,6 +64,9 @@
 	if s.sort == "stewards" && c.Stewards.Count == 0 {
 		return "", fmt.Errorf("%q: there are none in this experiment", text)
 	}
+	if s.sort == "workers" && c.Duties.Count == 0 {
+		return "", fmt.Errorf("%q: there are none in this experiment", text)
+	}
 	if s.zone != "" && !slices.Contains(c.Zones, s.zone) {
 		return "", fmt.Errorf("%q: no zone %q", text, s.zone)
 	}
@@ -84,17 +87,30 @@
 				sort = "stewards"
 			}
 		}
+		for i := range c.workers() {
+			if workerName(i) == name {
+				sort = "workers"
+			}
+		}
 		switch {
 		case sort == "":
 			return "", fmt.Errorf("unknown process %q", name)
 		case s.sort != "" && s.sort != sort:
-			return "", fmt.Errorf("%q: both servers and agents", text)
+			return "", fmt.Errorf("%q: processes of two sorts", text)
 		}
 		s.sort = sort
 	}
 	return s.sort, nil
 }
 
+// workers is how many there are.
+func (c *Config) workers() int {
+	if c.Duties.Count == 0 {
+		return 0
+	}
+	return c.Duties.Workers
+}
+
 // choose gives the numbers of the servers or agents that a selector means. What is left
 // to chance is drawn from the rng alone, so one seed always means the same ones.
 func (c *Config) choose(text string, rng *rand.Rand) []int {
@@ -106,6 +122,8 @@
 		n, name = c.Agents.Count, agentName
 	case "stewards":
 		n, name = c.Stewards.Count, stewardName
+	case "workers":
+		n, name = c.workers(), workerName
 	}
 	var all []int
 	for i := range n {
--- a/internal/lab/experiment/stewards.go
+++ b/internal/lab/experiment/stewards.go
@@ -12,7 +12,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -51,6 +50,9 @@
 
 	views []view                   // by steward
 	told  []map[int]endpoints.Host // by agent: what the checker was told last
+	wires map[pair][]wire
+	// faulty are the pairs that the timeline has a fault for.
+	faulty map[pair]bool
 
 	mu     sync.Mutex
 	heard  map[int]bool // servers that are there to say so
@@ -68,7 +70,12 @@
 
 func newStewards(l *lane) (*stewards, error) {
 	s := &stewards{l: l, heard: map[int]bool{}, sent: map[int64]time.Duration{}, last: map[int64]time.Duration{},
-		spread: hdrhistogram.New(1, 120_000_000, 3)}
+		spread: hdrhistogram.New(1, 120_000_000, 3), wires: map[pair][]wire{}, faulty: map[pair]bool{}}
+	for i := range l.c.Fault {
+		for _, p := range l.pairs(&l.c.Fault[i]) {
+			s.faulty[p] = true
+		}
+	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	command, err := program("stewards.command", l.c.Stewards.Command)
 	if err != nil {
@@ -98,7 +105,13 @@
 		text := fmt.Sprintf("name = %q\ndata = %q\nlisten = %q\nraft = %q\nlease_ttl = %q\n", name,
 			filepath.Join(l.dir, "stewards", name), s.addrs[i], raft[i], l.c.Stewards.LeaseTTL)
 		for j := range s.addrs {
-			text += fmt.Sprintf("[peers.%s]\nhttp = %q\nraft = %q\n", stewardName(j), s.addrs[j], raft[j])
+			at := []string{s.addrs[j], raft[j]}
+			for k := range at {
+				if at[k], err = s.reach(pair{stewardToSteward, i, j}, at[k], false); err != nil {
+					return nil, err
+				}
+			}
+			text += fmt.Sprintf("[peers.%s]\nhttp = %q\nraft = %q\n", stewardName(j), at[0], at[1])
 		}
 		conf := filepath.Join(l.dir, "stewards", name+".toml")
 		if err := os.MkdirAll(filepath.Dir(conf), 0o755); err != nil {
@@ -130,14 +143,8 @@
 		s.mu.Lock()
 		s.heard[i] = true
 		s.mu.Unlock()
-		for {
-			err := s.register(ctx, sv)
-			if err == nil {
-				break
-			}
-			if !sleep(ctx, 50*time.Millisecond) {
-				return fmt.Errorf("stewards: server %s was not taken: %w", sv.Name, err)
-			}
+		if err := again(ctx, "stewards: server "+sv.Name+" was not taken", func() error { return s.register(ctx, sv) }); err != nil {
+			return err
 		}
 	}
 	watches := s.l.c.Stewards.Watches
@@ -159,6 +166,11 @@
 func (s *stewards) close() {
 	s.stop()
 	s.owned.Wait()
+	for _, all := range s.wires {
+		for _, w := range all {
+			w.Close()
+		}
+	}
 }
 
 // entry is what a server says of itself.
@@ -423,37 +435,5 @@
 
 // strike does something to stewards' processes.
 func (s *stewards) strike(ctx context.Context, f *Fault, rng *rand.Rand) (int, error) {
-	targets := s.l.c.choose(f.Target, rng)
-	every := time.Duration(0)
-	if f.Kind == "restart" {
-		every = f.Every
-	}
-	return len(targets), each(ctx, targets, every, func(i int) error {
-		p := s.procs[i]
-		ended := p.Ended()
-		switch f.Kind {
-		case "stop":
-			if err := p.Signal(syscall.SIGSTOP); err != nil {
-				return err
-			}
-			s.l.last(ctx, f)
-			if f.For == 0 {
-				return nil
-			}
-			return p.Signal(syscall.SIGCONT)
-		case "kill":
-			p.Kill()
-			<-ended
-			s.l.last(ctx, f)
-			if f.For == 0 || ctx.Err() != nil {
-				return nil
-			}
-		default:
-			if err := p.Signal(syscall.SIGTERM); err != nil {
-				return err
-			}
-			<-ended
-		}
-		return p.Start()
-	})
+	return strikeAll(ctx, s.l, s.procs, f, rng)
 }
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -116,6 +116,12 @@
 	LastAgentP50Ms float64 `json:"last_agent_p50_ms"` // to the last agent, over the changes
 	LastAgentP99Ms float64 `json:"last_agent_p99_ms"`
 	Changes        int64   `json:"changes"`
+	DutyTerms      int     `json:"duty_terms"`
+	DutyRefused    int     `json:"duty_acts_refused"` // for their fence
+	DutyIdle       float64 `json:"duty_idle_share"`   // of the time between the first act and the last, in which nobody acted
+	DutyGapP50Ms   float64 `json:"duty_gap_p50_ms"`   // between two holders' acts
+	DutyGapP99Ms   float64 `json:"duty_gap_p99_ms"`
+	DutyGapMaxMs   float64 `json:"duty_gap_max_ms"`
 	AgentPeakRSSMB float64 `json:"agent_peak_rss_mb"`
 	AgentPeakFDs   int     `json:"agent_peak_descriptors"`
 	AgentCPUS      float64 `json:"agent_cpu_s"`
@@ -279,6 +285,12 @@
 		return l.Total.LastAgentP50Ms
 	case "last_agent_p99_ms":
 		return l.Total.LastAgentP99Ms
+	case "duty_idle":
+		return l.Total.DutyIdle
+	case "duty_gap_max_ms":
+		return l.Total.DutyGapMaxMs
+	case "duty_terms":
+		return float64(l.Total.DutyTerms)
 	case "worth":
 		return row.Worth
 	case "worth_ratio":
@@ -314,6 +326,7 @@
 		_ = late.RecordValue(max(l.results[k].Late.Microseconds(), 1))
 	}
 	out := Lane{Name: l.name, Recovery: map[string]float64{}, Events: []EventLine{}}
+	out.Total = l.total() // which may find that a rule was broken
 	out.Examples, out.Breaches = l.checker.Breaches()
 	for k := range out.Examples {
 		out.Examples[k].AtS = round(out.Examples[k].AtS - r.zero.Seconds())
@@ -326,7 +339,6 @@
 	}
 	windows := r.c.windows(r.applied[i])
 	out.Rows = r.rows(l, windows)
-	out.Total = l.total()
 	out.Total.Crashes = out.Breaches[check.RuleCrash]
 	out.Series = r.series(l.results, r.samples[i])
 	for name, w := range windows {
@@ -434,6 +446,9 @@
 	}
 	if l.list != nil {
 		l.list.figures(&t)
+		if l.workers != nil {
+			l.workers.figures(&t)
+		}
 	}
 	t.Repeats, t.Doubled = l.effects.Counts()
 	for _, a := range l.agents {
--- a/internal/lab/experiment/timeline.go
+++ b/internal/lab/experiment/timeline.go
@@ -119,6 +119,11 @@
 			return 0, nil // a baseline's list is the stand-in's
 		}
 		return l.list.strike(ctx, f, rng)
+	case "workers":
+		if l.workers == nil {
+			return 0, nil
+		}
+		return l.workers.strike(ctx, f, rng)
 	}
 	return l.harm(ctx, f, rng)
 }
@@ -330,6 +335,7 @@
 	if l.policy != "" || len(pairs) == 0 {
 		return 0, nil
 	}
+	wires := l.wiresOf(pairs)
 	sh := link.Shape{}
 	switch f.Kind {
 	case "cut":
@@ -340,6 +346,8 @@
 		sh.Rate = f.Size
 	case "reset":
 		sh.ResetAfter = int64(f.Size)
+	case "loss": // of datagrams; streams are late by as much as it takes to send again
+		sh.Loss, sh.Delay, sh.Jitter = f.Size, f.Delay, f.Jitter
 	}
 	var forward, back link.Shape
 	if f.Way != "back" {
@@ -348,13 +356,13 @@
 	if f.Way != "forward" {
 		back = sh
 	}
-	all := func(do func(*link.Link) error) error {
-		targets := make([]int, len(pairs))
+	all := func(do func(wire) error) error {
+		targets := make([]int, len(wires))
 		for i := range targets {
 			targets[i] = i
 		}
 		// Together: to fill a queue takes some time, and there may be thousands.
-		return each(ctx, targets, 0, func(i int) error { return do(l.links[pairs[i]]) })
+		return each(ctx, targets, 0, func(i int) error { return do(wires[i]) })
 	}
 	off := func(is bool) {
 		for _, p := range pairs {
@@ -364,7 +372,7 @@
 		}
 	}
 	off(true)
-	err := all(func(k *link.Link) error {
+	err := all(func(k wire) error {
 		if f.Kind == "refuse" {
 			return k.Refuse()
 		}
@@ -372,7 +380,7 @@
 	})
 	l.last(ctx, f)
 	if f.For > 0 {
-		if e := all(func(k *link.Link) error { return k.Set(link.Shape{}, link.Shape{}) }); err == nil {
+		if e := all(func(k wire) error { return k.Set(link.Shape{}, link.Shape{}) }); err == nil {
 			err = e
 		}
 		off(false)
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -43,6 +43,7 @@
 	senders []client.Sender
 	agents  []*agentProcess
 	list    *stewards // nil: the stand-in
+	workers *workers  // nil: there are no duties
 	links   map[pair]*link.Link
 	sup     *process.Supervisor
 	events  *events
@@ -58,9 +59,6 @@
 	Asked, InTime, Late, Refused, Failed int
 }
 
-// pair is the two ends of a link; to is -1 for discovery.
-type pair struct{ agent, to int }
-
 const toDiscovery = -1
 
 // agentProcess is one agent under test.
@@ -260,7 +258,7 @@
 	for i := range l.c.Fault {
 		f := &l.c.Fault[i]
 		for _, p := range l.pairs(f) {
-			if l.links[p] != nil {
+			if l.links[p] != nil || p.kind > agentToDiscovery { // those of stewards are made with them
 				continue
 			}
 			target := ""
@@ -289,14 +287,23 @@
 	from := l.c.choose(f.Target, rng)
 	if sort, _ := l.c.selector(f.To); sort == "discovery" {
 		for _, a := range from {
-			out = append(out, pair{a, toDiscovery})
+			out = append(out, pair{agentToDiscovery, a, toDiscovery})
 		}
 		return out
 	}
 	to := l.c.choose(f.To, rng)
+	kind := agentToServer
+	switch sort, _ := l.c.selector(f.Target); sort {
+	case "workers":
+		kind = workerToSteward
+	case "stewards":
+		kind = stewardToSteward
+	}
 	for _, a := range from {
 		for _, s := range to {
-			out = append(out, pair{a, s})
+			if p := (pair{kind, a, s}); kind != stewardToSteward || a != s {
+				out = append(out, p)
+			}
 		}
 	}
 	return out
@@ -313,7 +320,7 @@
 
 // dial is where an agent reaches a server: through the link, if there is one.
 func (l *lane) dial(agent, server int) string {
-	if k := l.links[pair{agent, server}]; k != nil {
+	if k := l.links[pair{agentToServer, agent, server}]; k != nil {
 		return k.Addr()
 	}
 	return l.servers[server].Addr()
@@ -321,7 +328,7 @@
 
 // clear tells whether no link can have kept back what an agent sent to a server of late.
 func (l *lane) clear(agent, server int) bool {
-	k := l.links[pair{agent, server}]
+	k := l.links[pair{agentToServer, agent, server}]
 	return k == nil || k.Plain(2*l.longest())
 }
 
@@ -358,7 +365,7 @@
 		up = link.Refused
 	}
 	for i := range l.c.Agents.Count {
-		if k := l.links[pair{i, s.Index}]; k != nil {
+		if k := l.links[pair{agentToServer, i, s.Index}]; k != nil {
 			if err := k.Target(up); err != nil {
 				l.events.tell("link failed: " + err.Error())
 			}
@@ -377,6 +384,11 @@
 		if l.list, err = newStewards(l); err != nil {
 			return err
 		}
+		if l.c.Duties.Count > 0 {
+			if l.workers, err = newWorkers(l); err != nil {
+				return err
+			}
+		}
 	}
 	for i := range l.c.Agents.Count {
 		addr, err := l.addrs.FreePort()
@@ -384,7 +396,7 @@
 			return err
 		}
 		a := &agentProcess{index: i, addr: addr, conf: filepath.Join(l.dir, "agents", agentName(i)+".json"), disc: l.disc.Addr(i)}
-		if k := l.links[pair{i, toDiscovery}]; k != nil {
+		if k := l.links[pair{agentToDiscovery, i, toDiscovery}]; k != nil {
 			a.disc = k.Addr()
 		}
 		if l.list != nil {
@@ -503,7 +515,7 @@
 	default:
 	}
 	if i < 0 {
-		l.events.tell("steward " + p.Name + " ended")
+		l.events.tell("process " + p.Name + " ended")
 		if !wanted {
 			l.checker.Report(check.RuleCrash, -1, p.Name+": "+p.Tail())
 		}
