--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -23,6 +23,7 @@
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/control"
+	"molepaddle/internal/duty"
 	"molepaddle/internal/lab/check"
 	"molepaddle/internal/lab/link"
 	"molepaddle/internal/lab/process"
@@ -251,6 +252,7 @@
 	} {
 		w := holder()
 		began := monotonic()
+		refused := c.acts.Judge().Refused
 		undo := round.do(w)
 		not := w
 		if round.same {
@@ -258,6 +260,10 @@
 		}
 		a := c.acted("work.a", not, max(monotonic(), began))
 		t.Logf("%s: %s, then %s under %d after %v", round.what, w, a.Process, a.Fence, (a.Mono - began).Round(time.Millisecond))
+		// Only one that stood still may have acted too late, once: what runs stops by its own clock.
+		if n := c.acts.Judge().Refused - refused; n > 0 && !strings.HasPrefix(round.what, "stopped") {
+			t.Errorf("%s: %d acts were refused by their fence: it went on beyond its time", round.what, n)
+		}
 		undo()
 		c.held()
 	}
@@ -525,7 +531,8 @@
 			t.Fatal(err)
 		}
 		f.until("the session is over", func() bool {
-			return f.client(f.others(old)...).EndSession(ctx, name, id, false) == nil
+			err := f.client(f.others(old)...).EndSession(ctx, name, id, false)
+			return err == nil || errors.Is(err, duty.ErrGone)
 		})
 		answers := f.heldBack(old, 40, func(ctx context.Context, c *control.Client) bool {
 			_, err := c.RenewSession(ctx, name, id, 0)
--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -261,7 +261,8 @@
 	f := newFleet(t, 3)
 	behind := f.others(f.leader())[0]
 	f.kill(behind)
-	for i := range 300 { // several times what a log keeps
+	f.register("once", 7) // no later entry of the log tells of it
+	for i := range 300 {  // several times what a log keeps
 		f.register(fmt.Sprint("s-", i%20), float64(i))
 	}
 	f.until("snapshots", func() bool {
@@ -273,6 +274,12 @@
 		e, err := f.all[behind].client.Server(context.Background(), "s-19", false)
 		return err == nil && e.Host.BornMs == 299
 	})
+	if e, err := f.all[behind].client.Server(context.Background(), "once", false); err != nil || e.Host.BornMs != 7 {
+		t.Errorf("what only the snapshot tells of: %+v, %v", e.Host, err)
+	}
+	if text, err := os.ReadFile(f.all[behind].proc.Log); err != nil || !strings.Contains(string(text), "Installed remote snapshot") {
+		t.Errorf("no snapshot was installed: %v", err)
+	}
 }
 
 // All stewards are replaced by others, one by one, under writes.
@@ -386,7 +393,7 @@
 	refused("in use", f.data(name), "another process uses")
 	f.kill(name)
 	refused("no folder", f.file(name), "data: ")
-	if text := readOnly(t, f.data(name)); strings.Count(text, "\n") != 1 || !strings.Contains(text, "data: ") || !strings.Contains(text, "permission denied") {
+	if text := readOnly(t, f.data(name)); strings.Count(text, "\n") != 1 || !strings.Contains(text, "data: ") || !strings.Contains(text, "permission denied") || strings.Contains(text, "damaged") {
 		t.Errorf("a folder that may not be written: said %q", text)
 	}
 	path := filepath.Join(f.data(name), "raft.db")
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -79,15 +80,28 @@
 	names []string
 	links map[[2]string]*link.Link // from, to
 	extra string                   // of each configuration
+	mesh  *mesh                    // how they gossip; nil: they don't
 }
 
 type steward struct {
-	name, http, raft string
-	proc             *process.Process
-	client           *control.Client
+	name, http, raft, gossip string
+	proc                     *process.Process
+	client                   *control.Client
 }
 
 func newFleet(t testing.TB, n int) *fleet {
+	t.Helper()
+	f := emptyFleet(t, n)
+	for _, name := range f.names {
+		f.configure(name, f.names)
+		f.start(name)
+	}
+	f.leader()
+	return f
+}
+
+// emptyFleet is one whose stewards are neither configured nor started.
+func emptyFleet(t testing.TB, n int) *fleet {
 	t.Helper()
 	addrs, err := loopback.Claim()
 	if err != nil {
@@ -102,6 +116,9 @@
 		for _, l := range f.links {
 			l.Close()
 		}
+		if f.mesh != nil {
+			f.mesh.close()
+		}
 		addrs.Close()
 		if t.Failed() {
 			for _, s := range f.all {
@@ -113,11 +130,6 @@
 	for i := range n {
 		f.add(fmt.Sprint("st-", i+1))
 	}
-	for _, name := range f.names {
-		f.configure(name, f.names)
-		f.start(name)
-	}
-	f.leader()
 	return f
 }
 
@@ -125,7 +137,7 @@
 func (f *fleet) add(name string) *steward {
 	f.t.Helper()
 	s := &steward{name: name}
-	for _, addr := range []*string{&s.http, &s.raft} {
+	for _, addr := range []*string{&s.http, &s.raft, &s.gossip} {
 		var err error
 		if *addr, err = f.addrs.FreePort(); err != nil {
 			f.t.Fatal(err)
@@ -150,6 +162,9 @@
 	f.t.Helper()
 	s := f.all[name]
 	text := fmt.Sprintf("name = %q\ndata = %q\nlisten = %q\nraft = %q\n%s", name, f.data(name), s.http, s.raft, f.extra)
+	if f.mesh != nil {
+		text += fmt.Sprintf("gossip = %q\n", s.gossip)
+	}
 	for _, to := range peers {
 		raft := s.raft
 		if to != name {
@@ -163,7 +178,14 @@
 			}
 			raft = f.links[key].Addr()
 		}
-		text += fmt.Sprintf("[peers.%s]\nhttp = %q\nraft = %q\n", to, f.all[to].http, raft)
+		http := f.all[to].http
+		if f.mesh != nil && to != name {
+			http = f.mesh.stream(name, to, http)
+		}
+		text += fmt.Sprintf("[peers.%s]\nhttp = %q\nraft = %q\n", to, http, raft)
+		if f.mesh != nil {
+			text += f.mesh.entry(name, to)
+		}
 	}
 	if err := os.WriteFile(f.file(name), []byte(text), 0o644); err != nil {
 		f.t.Fatal(err)
@@ -277,7 +299,8 @@
 	go func() {
 		defer close(w.done)
 		for i := 0; ctx.Err() == nil; i++ {
-			name := fmt.Sprintf("%s-%d", prefix, i%40)
+			// A later write of a name would hide that an earlier one was lost.
+			name := fmt.Sprintf("%s-%d", prefix, i%3000)
 			c.Addrs = append(c.Addrs[1:], c.Addrs[0])
 			call, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 			_, err := c.Register(call, entry(name, float64(i)))
@@ -343,6 +366,7 @@
 	back  []string
 	hosts map[string]endpoints.Host
 	ever  map[string]bool // that were listed at any time
+	gone  []string        // that were taken off while it followed
 	whole int
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -364,13 +388,24 @@
 	r.seq = l.Seq
 	if l.Whole {
 		r.whole++
-		clear(r.hosts)
 	}
 	if r.ever == nil {
 		r.ever = map[string]bool{}
 	}
+	if l.Whole {
+		had := r.hosts
+		r.hosts = map[string]endpoints.Host{}
+		for name := range had {
+			if !slices.ContainsFunc(l.Hosts, func(h endpoints.Host) bool { return h.Host == name }) {
+				r.gone = append(r.gone, name)
+			}
+		}
+	}
 	for _, h := range l.Hosts {
 		r.ever[h.Host] = true
+		if h.Health == endpoints.Gone {
+			r.gone = append(r.gone, h.Host)
+		}
 		if r.hosts[h.Host] = h; h.Health == endpoints.Gone {
 			delete(r.hosts, h.Host)
 		}
--- a/cmd/steward/main.go
+++ b/cmd/steward/main.go
@@ -41,7 +41,7 @@
 	root.PersistentFlags().StringSliceVar(&at, "at", []string{"127.0.0.1:8500"}, "HTTP addresses of stewards, the first that answers is asked")
 	client := func() *control.Client { return control.NewClient(at, callWait) }
 	root.AddCommand(serveCommand(), statusCommand(out, client), serversCommand(out, client), snapshotCommand(out, client),
-		peerCommand(out, client), confirmCommand(out, client), dutiesCommand(out, client))
+		peerCommand(out, client), confirmCommand(out, client), dutiesCommand(out, client), membersCommand(out, client))
 	return root
 }
 
@@ -82,7 +82,6 @@
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(c.LogLevel)) // checked with the configuration
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("steward", c.Name)
-	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of the write
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	defer signal.Stop(again)
--- /dev/null
+++ b/cmd/steward/mesh_test.go
@@ -0,0 +1,345 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/control"
+	"molepaddle/internal/lab/link"
+	"molepaddle/internal/member"
+)
+
+// mesh is the links over which the stewards of a fleet gossip and call each other, beside
+// those over which they replicate: one of each sort for each ordered pair.
+type mesh struct {
+	f       *fleet
+	streams map[[2]string]map[string]*link.Link // by what they lead to
+	packets map[[2]string]*link.UDP
+	shapes  map[[2]string]link.Shape
+	spares  map[string]bool
+}
+
+// gossiping is a fleet whose stewards gossip, all of them links between.
+func gossiping(t testing.TB, n int, extra string, spares ...string) *fleet {
+	t.Helper()
+	f := emptyFleet(t, n)
+	f.mesh = &mesh{f: f, streams: map[[2]string]map[string]*link.Link{}, packets: map[[2]string]*link.UDP{}, shapes: map[[2]string]link.Shape{}, spares: map[string]bool{}}
+	for _, s := range spares {
+		f.mesh.spares[s] = true
+	}
+	f.extra = "heartbeat = \"500ms\"\nlease_ttl = \"3s\"\nsnapshot_every = 64\nsnapshot_check = \"500ms\"\n" + extra
+	for _, name := range f.names {
+		f.configure(name, f.names)
+	}
+	return f
+}
+
+func (f *fleet) startAll() {
+	for _, name := range f.names {
+		f.start(name)
+	}
+	f.leader()
+	f.agree(f.names...)
+}
+
+func (m *mesh) close() {
+	for _, by := range m.streams {
+		for _, l := range by {
+			l.Close()
+		}
+	}
+	for _, u := range m.packets {
+		u.Close()
+	}
+}
+
+// stream is where one dials what another listens at.
+func (m *mesh) stream(from, to, target string) string {
+	key := [2]string{from, to}
+	if m.streams[key] == nil {
+		m.streams[key] = map[string]*link.Link{}
+	}
+	if m.streams[key][target] == nil {
+		l, err := link.New(m.f.addrs.IP()+":0", target, 1)
+		if err != nil {
+			m.f.t.Fatal(err)
+		}
+		m.streams[key][target] = l
+	}
+	return m.streams[key][target].Addr()
+}
+
+func (m *mesh) entry(from, to string) string {
+	addr := m.f.all[to].gossip
+	if from != to {
+		addr = m.stream(from, to, addr)
+		if key := [2]string{from, to}; m.packets[key] == nil {
+			u, err := link.NewUDP(addr, m.f.all[to].gossip, uint64(len(m.packets)))
+			if err != nil {
+				m.f.t.Fatal(err)
+			}
+			m.packets[key] = u
+		}
+	}
+	text := fmt.Sprintf("gossip = %q\n", addr)
+	if m.spares[to] {
+		text += "spare = true\n"
+	}
+	return text
+}
+
+// shape has what goes from one to another go so: over connections that either has made.
+func (m *mesh) shape(from, to string, s link.Shape) { m.set(s, [2]string{from, to}) }
+
+// among has all that goes between some stewards and others go so.
+func (m *mesh) among(some, others []string, s link.Shape) {
+	var pairs [][2]string
+	for _, a := range some {
+		for _, b := range others {
+			if a != b {
+				pairs = append(pairs, [2]string{a, b}, [2]string{b, a})
+			}
+		}
+	}
+	m.set(s, pairs...)
+}
+
+func (m *mesh) set(s link.Shape, pairs ...[2]string) {
+	m.f.t.Helper()
+	keys := map[[2]string]bool{}
+	for _, p := range pairs {
+		m.shapes[p] = s
+		keys[p], keys[[2]string{p[1], p[0]}] = true, true
+	}
+	var all sync.WaitGroup // together: a link that is cut has a queue to fill first
+	for key := range keys {
+		out, back := m.shapes[key], m.shapes[[2]string{key[1], key[0]}]
+		m.packets[key].Set(out, back)
+		streams := []*link.Link{m.f.links[key]}
+		for _, l := range m.streams[key] {
+			streams = append(streams, l)
+		}
+		for _, l := range streams {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				if err := l.Set(out, back); err != nil {
+					m.f.t.Error(err)
+				}
+			}()
+		}
+	}
+	all.Wait()
+}
+
+func (f *fleet) view(name string) (v member.View, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	views, _ := control.Members(ctx, []string{f.all[name].http}, 2*time.Second)
+	if len(views) != 1 {
+		return v, false
+	}
+	return views[0], true
+}
+
+// sees waits until a steward has members in a state, and tells how long that took.
+func (f *fleet) sees(at string, state member.State, names ...string) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	var v member.View
+	f.until(fmt.Sprintf("%s has %v as %s", at, names, state), func() bool {
+		var ok bool
+		v, ok = f.view(at)
+		for _, n := range names {
+			ok = ok && v.State(n) == state
+		}
+		return ok
+	})
+	return time.Since(began)
+}
+
+// agree waits until the views of stewards are equal: all of them present, nobody of another
+// mind; and tells how long that took.
+func (f *fleet) agree(names ...string) time.Duration {
+	f.t.Helper()
+	began := time.Now()
+	last := ""
+	defer func() {
+		if f.t.Failed() {
+			f.t.Log(last)
+		}
+	}()
+	f.until("equal views", func() bool {
+		var views []member.View
+		for _, n := range names {
+			v, ok := f.view(n)
+			if !ok {
+				last = n + " doesn't answer"
+				return false
+			}
+			for _, o := range names {
+				if st := v.State(o); st != member.Present {
+					last = fmt.Sprintf("%s has %s as %q", n, o, st)
+					return false
+				}
+			}
+			views = append(views, v)
+		}
+		diffs := member.Compare(views)
+		last = fmt.Sprintf("%+v", diffs)
+		return len(diffs) == 0
+	})
+	return time.Since(began)
+}
+
+// watchful looks at views all the while, and remembers in which states members were.
+type watchful struct {
+	mu   sync.Mutex
+	seen map[[2]string]map[member.State]bool // by observer and member
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+func (f *fleet) watchful(names ...string) *watchful {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watchful{seen: map[[2]string]map[member.State]bool{}, stop: cancel}
+	for _, name := range names {
+		w.done.Add(1)
+		go func() {
+			defer w.done.Done()
+			for ctx.Err() == nil {
+				if v, ok := f.view(name); ok {
+					w.mu.Lock()
+					for i := range v.Members {
+						key := [2]string{name, v.Members[i].Name}
+						if w.seen[key] == nil {
+							w.seen[key] = map[member.State]bool{}
+						}
+						w.seen[key][v.Members[i].State] = true
+					}
+					w.mu.Unlock()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+	}
+	f.t.Cleanup(w.end)
+	return w
+}
+
+func (w *watchful) end() {
+	w.stop()
+	w.done.Wait()
+}
+
+// never holds that no observer had a member in a state.
+func (w *watchful) never(t *testing.T, state member.State, names ...string) {
+	t.Helper()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, states := range w.seen {
+		if states[state] && slices.Contains(names, key[1]) {
+			t.Errorf("%s had %s as %s", key[0], key[1], state)
+		}
+	}
+}
+
+// herd is programme servers that answer when they are asked how they are, and renew at the
+// stewards named, in turn. A reader watches whether any is ever off the list.
+type herd struct {
+	f     *fleet
+	names []string
+	r     *reader
+	mu    sync.Mutex
+	quiet bool
+	at    []string
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+	lns   []net.Listener
+}
+
+func (f *fleet) herd(n int, reader string, at ...string) *herd {
+	f.t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &herd{f: f, at: at, stop: cancel}
+	var servers []*http.Server
+	f.t.Cleanup(func() {
+		cancel()
+		for _, s := range servers {
+			s.Close()
+		}
+		h.done.Wait()
+	})
+	for i := range n {
+		ln, err := net.Listen("tcp", f.addrs.IP()+":0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		h.lns = append(h.lns, ln)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}), ReadHeaderTimeout: time.Second}
+		h.done.Add(1)
+		go func() { defer h.done.Done(); _ = server.Serve(ln) }()
+		servers = append(servers, server)
+		name := fmt.Sprint("s-", i)
+		e := entry(name, 1)
+		e.Dial = ln.Addr().String()
+		f.until(name+" is taken", func() bool {
+			c, done := context.WithTimeout(context.Background(), 5*time.Second)
+			defer done()
+			_, err := f.client(f.names...).Register(c, e)
+			return err == nil
+		})
+		h.names = append(h.names, name)
+	}
+	h.r = f.follow(reader)
+	f.until("all are listed", func() bool {
+		for _, n := range h.names {
+			if _, ok := h.r.has(n); !ok {
+				return false
+			}
+		}
+		return true
+	})
+	h.done.Add(1)
+	go func() {
+		defer h.done.Done()
+		for i := 0; ctx.Err() == nil; i++ {
+			h.mu.Lock()
+			quiet, to := h.quiet, h.at[i%len(h.at)]
+			h.mu.Unlock()
+			if !quiet {
+				c, done := context.WithTimeout(ctx, 700*time.Millisecond)
+				_, _ = f.all[to].client.Renew(c, renewals(n))
+				done()
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	}()
+	return h
+}
+
+// silence has the servers renew no more; they still answer when they are asked.
+func (h *herd) silence() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.quiet = true
+}
+
+// whole holds that no server was ever taken off the list.
+func (h *herd) whole() {
+	h.f.t.Helper()
+	h.r.mu.Lock()
+	defer h.r.mu.Unlock()
+	if len(h.r.gone) > 0 {
+		h.f.t.Errorf("taken off the list though they are there: %v", h.r.gone)
+	}
+	if len(h.r.hosts) < len(h.names) {
+		h.f.t.Errorf("%d of %d are listed", len(h.r.hosts), len(h.names))
+	}
+}
--- a/cmd/steward/readers_test.go
+++ b/cmd/steward/readers_test.go
@@ -282,6 +282,7 @@
 	}
 	f.leader()
 	const n = 8
+	var quiet atomic.Int64 // servers that renew no more, from the last on
 	ctx, cancel := context.WithCancel(context.Background())
 	var renewing sync.WaitGroup
 	defer renewing.Wait()
@@ -295,7 +296,7 @@
 		c := f.client(f.names...)
 		for ctx.Err() == nil {
 			call, cancel := context.WithTimeout(ctx, 2*time.Second)
-			_, _ = c.Renew(call, renewals(n))
+			_, _ = c.Renew(call, renewals(n-int(quiet.Load())))
 			cancel()
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -304,11 +305,14 @@
 	for round := range 3 {
 		old := f.leader()
 		f.kill(old)
+		quiet.Add(1)
+		gone := fmt.Sprint("s-", n-1-round)
 		f.register(fmt.Sprint("round-", round), 1)
 		f.until("read", func() bool { _, ok := r.has(fmt.Sprint("round-", round)); return ok })
 		f.start(old)
 		time.Sleep(1500 * time.Millisecond) // half a lease
-		for i := range n {
+		f.until(gone+" lapses, which renews no more since another leads", func() bool { _, ok := r.has(gone); return !ok })
+		for i := range n - 1 - round {
 			if _, ok := r.has(fmt.Sprint("s-", i)); !ok {
 				t.Errorf("round %d: s-%d lapsed though it renewed", round, i)
 			}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -63,6 +63,15 @@
 	d.post(input{kind: inFetched, list: l, err: err})
 }
 
+// leave says that the agent ends as planned, to whoever counts it as present.
+func (d *discovery) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, acceptFor)
+	defer cancel()
+	if err := d.client.Leave(ctx); err != nil {
+		d.post(input{kind: inFailover, err: err})
+	}
+}
+
 // watch follows the changes after version since until no address leads on.
 func (d *discovery) watch(ctx context.Context, since int64) {
 	err := d.client.Watch(ctx, since, func(l endpoints.List) { d.post(input{kind: inWatched, list: l}) })
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -30,6 +30,7 @@
 	inWatched                  // list
 	inWatchEnded               // err
 	inMoved                    // addrs: where discovery is from now on
+	inLeaving                  // the agent is about to end
 	inFailover                 // addr: where it is not asked any more, err
 )
 
@@ -136,6 +137,9 @@
 	l.quiet = endpoints.Bucket{Most: 10, PerSecond: min(1, 20/float64(max(set.Replicas, 1)))}
 	if len(c.Stewards) > 0 {
 		l.lists = &endpoints.ClientConfig{Order: c.Seed, Fleet: set.Replicas, NeverOlder: true}
+		if endpoints.IsWord(c.Name, endpoints.MaxName) {
+			l.lists.Member = c.Name
+		}
 	}
 	l.ask(c.addresses())
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
@@ -225,6 +229,10 @@
 		l.warn("discovery: asked elsewhere", "left", in.addr, "err", in.err)
 	case inMoved:
 		l.move(in.addrs)
+	case inLeaving:
+		if l.lists != nil {
+			go l.disc.leave(l.ctx)
+		}
 	}
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -114,6 +114,7 @@
 // new one; then the listener; then all that is held is answered.
 func (a *Agent) leave() error {
 	a.leaving.Store(true)
+	a.loop.post(input{kind: inLeaving})
 	a.server.SetKeepAlivesEnabled(false)
 	time.Sleep(acceptFor)
 	longest := 0.0
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -57,6 +58,7 @@
 	Session *Session `json:"session,omitempty"`
 	Duty    *Duty    `json:"duty,omitempty"`
 	Ties    []Tie    `json:"ties,omitempty"`
+	Member  *Member  `json:"member,omitempty"`
 	Why     string   `json:"why,omitempty"`
 	// Under and Fence name the term of a duty under which the command is given; it is
 	// refused when that is over.
@@ -153,11 +155,14 @@
 	Duties   map[string]*Duty    `json:"duties,omitempty"`
 	Fence    int64               `json:"fence,omitempty"` // the last that was given
 	Rev      int64               `json:"rev,omitempty"`   // the last revision of a session
+	Members  map[string]*Member  `json:"members,omitempty"`
+	// Incarnation is the last that was given.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // New is the empty state.
 func New() *State {
-	return &State{Form: Form, Entries: map[string]*Entry{}, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}}
+	return &State{Form: Form, Entries: map[string]*Entry{}, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}, Members: map[string]*Member{}}
 }
 
 // Encode words the state; one state has one wording.
@@ -182,7 +187,7 @@
 	if s.Entries == nil {
 		s.Entries = map[string]*Entry{}
 	}
-	if err := s.checkDuties(); err != nil {
+	if err := errors.Join(s.checkDuties(), s.checkMembers()); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	for name, e := range s.Entries {
@@ -219,6 +224,7 @@
 	case Floor:
 		// Fences and revisions go on beyond those of another life of the state too.
 		s.Fence, s.Rev = max(s.Fence, c.Seq), max(s.Rev, c.Seq)
+		s.Incarnation = max(s.Incarnation, c.Seq)
 		if c.Seq > s.Seq {
 			// A reader who comes with a version below it may have it from another life of the
 			// service, so no change leads on from there: it gets the whole list.
@@ -233,6 +239,10 @@
 		return s.confirm()
 	case Set:
 		return s.set(c)
+	case Arrive:
+		return s.arrive(c.Member)
+	case Check:
+		return s.result(Done, "")
 	}
 	return s.result(Unsupported, fmt.Sprintf("unknown command %q", c.Kind))
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -124,7 +124,7 @@
 				l.Renew(s, Ref{fmt.Sprintf("s-%02d", i), 1}, now)
 			}
 		}
-		obey(s, now, l.Decide(s, now))
+		obey(s, now, l.Decide(s, now, LeaseAlone))
 	}
 	return len(s.List(0, true).Hosts), s, l
 }
@@ -162,7 +162,7 @@
 		}
 	}
 	seq := s.Seq
-	obey(s, now, l.Decide(s, now))
+	obey(s, now, l.Decide(s, now, LeaseAlone))
 	if s.HeldSince != 0 || s.Seq != seq || len(s.List(0, true).Hosts) != 30 {
 		t.Errorf("heard again: held since %v, version %d after %d", s.HeldSince, s.Seq, seq)
 	}
@@ -173,10 +173,10 @@
 	_, s, _ := leases(func(int) bool { return false }, 8)
 	now := 100 * time.Second
 	l := Lead(LeaseConfig{TTL: 6 * time.Second, Share: 1, Window: time.Second}, s, now)
-	if d := l.Decide(s, now+6*time.Second-1); !d.Empty() {
+	if d := l.Decide(s, now+6*time.Second-1, LeaseAlone); !d.Empty() {
 		t.Errorf("before the full time: %+v", d)
 	}
-	if d := l.Decide(s, now+6*time.Second); len(d.Lapse) != 30 {
+	if d := l.Decide(s, now+6*time.Second, LeaseAlone); len(d.Lapse) != 30 {
 		t.Errorf("after it: %+v", d)
 	}
 }
--- a/internal/catalog/duty_test.go
+++ b/internal/catalog/duty_test.go
@@ -57,6 +57,7 @@
 		restored := New()
 		do(restored, 0, Command{Kind: Register, Host: host("s", 1)})
 		terms := map[int64]string{}
+		beyond := int64(0) // what each term that begins has to be beyond: all before it, and each floor
 		told := map[string]string{}
 		cut := rapid.IntRange(0, 60).Draw(t, "snapshot at")
 		for i := range rapid.IntRange(1, 120).Draw(t, "commands") {
@@ -93,8 +94,18 @@
 					t.Fatalf("an act under fence %d of %+v: %+v", c.Fence, d, r)
 				}
 			}
+			if c.Kind == Floor {
+				beyond = max(beyond, c.Seq)
+			}
+			begun := beyond
 			for name, d := range s.Duties {
 				was, known := before[name]
+				if d.Holder != "" && (was.Holder == "" || was.Fence != d.Fence) {
+					if d.Fence <= beyond {
+						t.Fatalf("%s is granted under fence %d, there was %d", name, d.Fence, beyond)
+					}
+					begun = max(begun, d.Fence)
+				}
 				switch {
 				case known && d.Fence < was.Fence:
 					t.Fatalf("%s: fence %d after %d", name, d.Fence, was.Fence)
@@ -119,6 +130,7 @@
 					}
 				}
 			}
+			beyond = begun
 			for _, p := range s.Processes() {
 				o := s.Sessions[p]
 				tasks, rev, _ := s.Tasks(p, o.ID)
@@ -172,6 +184,11 @@
 						}
 					}
 				}
+				for _, tie := range c.Ties {
+					if last := max(heard[tie.Session], began); c.Kind == Grant && now >= last+lively {
+						t.Fatalf("%s is granted to %s, which was heard %v ago", tie.Name, tie.Process, now-last)
+					}
+				}
 				if c.Kind == Grant || c.Kind == Move && len(c.Ties) > 0 && c.Ties[0].Process != "" {
 					grants += len(c.Ties)
 				}
--- a/internal/catalog/lease.go
+++ b/internal/catalog/lease.go
@@ -23,6 +23,10 @@
 	until  map[string]lease
 	lapsed []time.Duration // the lapses within the window, in order
 	listed int             // servers that were listed when the window began
+	turn   int             // of those that are asked about
+	// Kept and Waiting count, at the last decision, the servers whose leases are over and that
+	// stay: because most see them, or because too little is known.
+	Kept, Waiting int
 }
 
 type lease struct {
@@ -35,6 +39,59 @@
 	Lapse, Hold, Seen, Admit []Ref
 }
 
+// Evidence is what others say of a server that is not heard.
+type Evidence uint8
+
+// The evidence. Where none is asked for, a lease that is over is enough.
+const (
+	Unsettled Evidence = iota // too little is known: it stays, and is asked about again
+	Stays                     // most see it
+	Gone                      // most say that it is gone
+)
+
+// Judge tells what others say of a server whose lease is over, or is late only.
+type Judge func(ref Ref, over bool) Evidence
+
+// LeaseAlone is the evidence of a fleet in which nobody else is asked.
+func LeaseAlone(_ Ref, over bool) Evidence {
+	if over {
+		return Gone
+	}
+	return Unsettled
+}
+
+// mostAsked bounds the servers that are asked about at once.
+const mostAsked = 64
+
+// Doubtful is the servers about which others should be asked: late, over, or held. Those that
+// have been in doubt for the longest come first.
+func (l *Leases) Doubtful(s *State, now time.Duration) []Ref {
+	type doubt struct {
+		ref   Ref
+		since time.Duration
+	}
+	var all []doubt
+	for name, e := range s.Entries {
+		if at, known := l.until[name]; known && !e.Ended && at.bornMs == e.Host.BornMs && at.expires-now < l.c.TTL/2 {
+			all = append(all, doubt{Ref{name, e.Host.BornMs}, at.expires})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		return all[i].since < all[j].since || all[i].since == all[j].since && all[i].ref.Name < all[j].ref.Name
+	})
+	// Those that stay for long must not keep the others from being asked about.
+	if len(all) > mostAsked {
+		l.turn++
+		from := (l.turn * mostAsked) % len(all)
+		all = append(all[from:], all[:from]...)
+	}
+	out := make([]Ref, 0, min(len(all), mostAsked))
+	for _, d := range all[:min(len(all), mostAsked)] {
+		out = append(out, d.ref)
+	}
+	return out
+}
+
 // Empty tells whether there is nothing to propose.
 func (d *Decision) Empty() bool {
 	return len(d.Lapse)+len(d.Hold)+len(d.Seen)+len(d.Admit) == 0
@@ -66,11 +123,14 @@
 }
 
 // Decide tells what has to be proposed now: which leases ended, which of them are held
-// back as a mass failure, which held ones were heard again, whose damping is over.
-func (l *Leases) Decide(s *State, now time.Duration) Decision {
+// back as a mass failure, which held ones were heard again, whose damping is over. A server
+// whose lease is over ends only where the evidence doesn't speak against it, and one that is
+// merely late where it is plain.
+func (l *Leases) Decide(s *State, now time.Duration, judge Judge) Decision {
 	var d Decision
-	var ended []Ref
+	var ended, early []Ref
 	listed, held, late := 0, 0, 0
+	l.Kept, l.Waiting = 0, 0
 	for name, e := range s.Entries {
 		if e.Ended {
 			delete(l.until, name)
@@ -88,17 +148,34 @@
 			l.until[name] = lease{e.Host.BornMs, now + l.c.TTL}
 			continue
 		}
-		switch over := now >= at.expires; {
-		case e.Held && !over:
+		over := now >= at.expires
+		// Servers renew thrice a lease, so one that was not heard for half of it is late. Of a
+		// mass failure all are, by the time that the first lease ends.
+		if !over && at.expires-now >= l.c.TTL/2 {
+			if e.Held {
+				d.Seen = append(d.Seen, ref)
+			}
+			continue
+		}
+		said := judge(ref, over)
+		switch {
+		case e.Held && (!over || said == Stays):
 			d.Seen = append(d.Seen, ref)
 		case e.Held:
 			held++
-		case over:
+		case said == Stays:
+			if over {
+				l.Kept++
+			}
+		case over && said == Gone:
 			ended = append(ended, ref)
-		case at.expires-now < l.c.TTL/2:
-			// Servers renew thrice a lease, so one that was not heard for half of it is late.
-			// Of a mass failure all are, by the time that the first lease ends.
+		case said == Gone:
+			early = append(early, ref)
+		default:
 			late++
+			if over {
+				l.Waiting++
+			}
 		}
 	}
 	for len(l.lapsed) > 0 && now-l.lapsed[0] > l.c.Window {
@@ -113,17 +190,15 @@
 	byName(ended)
 	byName(d.Seen)
 	byName(d.Admit)
-	if len(ended) == 0 {
-		return d
-	}
 	// While some are held the observer or the network is in doubt, so more are held too.
 	most := max(int(l.c.Share*float64(max(l.listed, listed))), 1)
-	if held > 0 || len(l.lapsed)+len(ended)+late > most {
+	if held > 0 || len(l.lapsed)+len(ended)+len(early)+late > most {
 		d.Hold = ended
 		return d
 	}
-	d.Lapse = ended
-	for range ended {
+	d.Lapse = append(ended, early...)
+	byName(d.Lapse)
+	for range d.Lapse {
 		l.lapsed = append(l.lapsed, now)
 	}
 	return d
--- a/internal/catalog/tenure.go
+++ b/internal/catalog/tenure.go
@@ -37,6 +37,9 @@
 	closing map[string]bool  // sessions, by id
 	// missed is when a session that held something lapsed: it is dead until it is heard.
 	missed map[string]time.Duration
+	// Absent is told from outside: processes that the view doesn't have as present. They are
+	// given something only where nobody else can do it.
+	Absent map[string]bool
 }
 
 // Succeed begins a leader's time.
@@ -159,7 +162,7 @@
 		if d.Holder != "" || d.Parked != "" || now < d.Wait || len(grants) == mostTies {
 			continue
 		}
-		if o := best(able, load, d, ""); o != nil {
+		if o := t.best(able, load, d, ""); o != nil {
 			load[o.Process]++
 			grants = append(grants, Tie{Name: name, Process: o.Process, Session: o.ID})
 		}
@@ -175,13 +178,14 @@
 		if d.Holder == "" || d.Next != "" || d.Stop || d.Parked != "" || o == nil || !o.Resting || moving+resting >= restMoves {
 			continue
 		}
-		if to := best(able, load, d, d.Holder); to != nil {
+		if to := t.best(able, load, d, d.Holder); to != nil {
 			load[to.Process]++
 			resting++
 			moves = append(moves, Tie{Name: name, Process: to.Process})
 		}
 	}
 	if len(moves) == 0 && moving < evenMoves {
+		able = slices.DeleteFunc(able, func(o *Session) bool { return t.Absent[o.Process] })
 		moves = even(s, able, load, names, now, evenMoves-moving)
 	}
 	ties(Move, moves)
@@ -214,16 +218,19 @@
 			able = append(able, o)
 		}
 	}
-	if o := best(able, load, d, d.Holder); o != nil {
+	if o := t.best(able, load, d, d.Holder); o != nil {
 		return o.Process
 	}
 	return ""
 }
 
-// best is the session that had best have a duty: the process that it prefers, then its
+// best is the session that had best have a duty: who is present, the process that it prefers, then its
 // zone, not where it failed last, then who has least of what it may have.
-func best(able []*Session, load map[string]int, d *Duty, not string) *Session {
+func (t *Tenures) best(able []*Session, load map[string]int, d *Duty, not string) *Session {
 	rank := func(o *Session) (r int) {
+		if t.Absent[o.Process] {
+			r += 16
+		}
 		if d.Process == "" || d.Process != o.Process {
 			r += 4
 		}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -41,13 +41,14 @@
 	mux.HandleFunc("PATCH /v1/servers/{name}", n.leaderWrites(n.set))
 	mux.HandleFunc("DELETE /v1/servers/{name}", n.leaderWrites(n.ends(catalog.Leave)))
 	mux.HandleFunc("POST /v1/servers/{name}/drain", n.leaderWrites(n.ends(catalog.Drain)))
-	mux.HandleFunc("POST /v1/renewals", n.leaderWrites(n.renewals))
+	mux.HandleFunc("POST /v1/renewals", n.heardRenewals(n.leaderWrites(n.renewals)))
 	mux.HandleFunc("POST /v1/guard/confirm", n.leaderWrites(n.confirm))
 	mux.HandleFunc("POST /v1/seen", n.leaderWrites(n.seen))
 	mux.HandleFunc("PUT /v1/snapshot", n.leaderWrites(n.restore))
 	mux.HandleFunc("PUT /v1/peers/{name}", n.leaderWrites(n.addPeer))
 	mux.HandleFunc("DELETE /v1/peers/{name}", n.leaderWrites(n.removePeer))
 	n.handleDuties(mux)
+	n.handleMembers(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.m.registry, promhttp.HandlerOpts{}))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
@@ -151,6 +152,7 @@
 		return
 	}
 	defer n.hub.leave(end)
+	defer n.openSessionOf(r)()
 	n.m.calls.WithLabelValues("list", "watch").Inc()
 	w.Header().Set("Content-Type", "application/json")
 	ctx, cancel := context.WithCancel(r.Context())
@@ -510,6 +512,11 @@
 	if err := n.raft().AddNonvoter(id, addr, 0, applyWait).Error(); err != nil {
 		return membership(err)
 	}
+	if r.URL.Query().Get("spare") == "1" {
+		n.log.Info("a steward hears all, as a spare", "peer", name)
+		answer(w, n.status())
+		return nil
+	}
 	end := time.Now().Add(30 * time.Second)
 	for {
 		if st, err := n.statusOf(r.Context(), name); err == nil && st.Applied+16 >= n.raft().CommitIndex() && st.Applied > 0 {
@@ -534,6 +541,9 @@
 	if name == n.c.Name && len(n.voters()) == 1 {
 		return bad("peer %s: it is the only one that votes", name)
 	}
+	if err := n.another(name, r.URL.Query().Get("id")); err != nil {
+		return err
+	}
 	if err := n.raft().RemoveServer(raft.ServerID(name), 0, applyWait).Error(); err != nil {
 		return membership(err)
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -23,8 +23,10 @@
 
 // Peer is how a steward reaches one, by a table of its own.
 type Peer struct {
-	HTTP string `koanf:"http"`
-	Raft string `koanf:"raft"`
+	HTTP   string `koanf:"http"`
+	Raft   string `koanf:"raft"`
+	Gossip string `koanf:"gossip"` // "": it doesn't gossip
+	Spare  bool   `koanf:"spare"`  // in a fleet that begins, it hears all and doesn't vote
 }
 
 // Config is a steward's configuration: file, then environment, then flags.
@@ -33,7 +35,13 @@
 	Data   string          `koanf:"data"`
 	Listen string          `koanf:"listen"` // HTTP
 	Raft   string          `koanf:"raft"`   // where the other stewards replicate to
-	Peers  map[string]Peer `koanf:"peers"`  // by name; this one may stand among them
+	Gossip string          `koanf:"gossip"` // UDP and TCP, where members tell each other who is there; "": nowhere
+	Zone   string          `koanf:"zone"`
+	Peers  map[string]Peer `koanf:"peers"` // by name; this one may stand among them
+
+	Evidence     bool          `koanf:"evidence"`      // the other stewards are asked before a server is taken off the list
+	Voters       int           `koanf:"voters"`        // how many are to vote: one that fails is replaced by a spare; 0: none is
+	ReplaceAfter time.Duration `koanf:"replace_after"` // of failure
 
 	LeaseTTL    time.Duration `koanf:"lease_ttl"`
 	GuardShare  float64       `koanf:"guard_share"` // of the listed servers that may lapse within the window
@@ -61,7 +69,7 @@
 func Defaults() Config {
 	return Config{Name: "steward", Listen: "127.0.0.1:8500", Raft: "127.0.0.1:8501",
 		LeaseTTL: 6 * time.Second, GuardShare: 0.4, GuardWindow: 10 * time.Second,
-		Heartbeat: 500 * time.Millisecond, StaleAfter: 5 * time.Second, Coalesce: 5 * time.Millisecond, Drain: 2 * time.Second, Now: time.Now, Log: func(s raft.LogStore) raft.LogStore { return s },
+		Heartbeat: 500 * time.Millisecond, StaleAfter: 5 * time.Second, Coalesce: 5 * time.Millisecond, Drain: 2 * time.Second, Evidence: true, ReplaceAfter: 30 * time.Second, Now: time.Now, Log: func(s raft.LogStore) raft.LogStore { return s },
 		MaxWatches: 5000, CallRate: 2000, MaxWrites: 1024, SnapshotEvery: 8192, SnapshotCheck: 20 * time.Second, LogLevel: "info"}
 }
 
@@ -117,6 +125,11 @@
 		{"data", c.Data == "", "missing: the folder that holds the log and the snapshots"},
 		{"listen", !endpoints.IsAddress(c.Listen), fmt.Sprintf("no address with a port: %q", c.Listen)},
 		{"raft", !endpoints.IsAddress(c.Raft), fmt.Sprintf("no address with a port: %q", c.Raft)},
+		{"gossip", c.Gossip != "" && !endpoints.IsAddress(c.Gossip), fmt.Sprintf("no address with a port: %q", c.Gossip)},
+		{"zone", c.Zone != "" && !endpoints.IsWord(c.Zone, endpoints.MaxWord), "must be a word"},
+		{"voters", c.Voters < 0 || c.Voters > 9, fmt.Sprintf("must be 0 to 9, is %d", c.Voters)},
+		{"voters", c.Voters > 0 && c.Gossip == "", "needs gossip, which tells who has failed"},
+		{"replace_after", c.ReplaceAfter < time.Second, fmt.Sprintf("must be 1s or above, is %v", c.ReplaceAfter)},
 		{"lease_ttl", c.LeaseTTL < 300*time.Millisecond, fmt.Sprintf("must be 300ms or above, is %v", c.LeaseTTL)},
 		{"guard_share", !(c.GuardShare >= 0) || c.GuardShare > 1, fmt.Sprintf("must be 0 to 1, is %v", c.GuardShare)},
 		{"guard_window", c.GuardWindow <= 0, fmt.Sprintf("must be above 0, is %v", c.GuardWindow)},
@@ -145,6 +158,8 @@
 			return fmt.Errorf("configuration: peers.%s.http: no address with a port: %q", name, p.HTTP)
 		case !endpoints.IsAddress(p.Raft):
 			return fmt.Errorf("configuration: peers.%s.raft: no address with a port: %q", name, p.Raft)
+		case p.Gossip != "" && !endpoints.IsAddress(p.Gossip):
+			return fmt.Errorf("configuration: peers.%s.gossip: no address with a port: %q", name, p.Gossip)
 		}
 	}
 	return nil
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -24,6 +24,7 @@
 	sweepDuty    = "sweep"     // ends the leases of servers that are not heard
 	snapshotDuty = "snapshots" // keeps copies of the state
 	auditDuty    = "audit"     // compares the list with what the servers say
+	votersDuty   = "voters"    // has voters that failed replaced by spares
 	ownTTL       = 2 * time.Second
 	sweepEvery   = 100 * time.Millisecond
 	pollWait     = 10 * time.Second
@@ -32,7 +33,7 @@
 
 // defineOwn has the stewards' own duties be there.
 func (n *Node) defineOwn() {
-	for _, name := range []string{sweepDuty, snapshotDuty, auditDuty} {
+	for _, name := range []string{sweepDuty, snapshotDuty, auditDuty, votersDuty} {
 		known := false
 		n.fsm.read(func(s *catalog.State) { known = s.Duties[name] != nil })
 		if known {
@@ -54,6 +55,7 @@
 	var cs []catalog.Command
 	n.lead.Lock()
 	if n.tenures != nil {
+		n.tenures.Absent = n.absent()
 		n.fsm.read(func(s *catalog.State) { cs = n.tenures.Decide(s, now) })
 	}
 	n.lead.Unlock()
@@ -78,7 +80,7 @@
 	c := NewClient(nil, pollWait+5*time.Second)
 	c.Table = n.addresses
 	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
-		Kinds: map[string]duty.Function{sweepDuty: n.doSweep(c), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c)}})
+		Kinds: map[string]duty.Function{sweepDuty: n.doSweep(c), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: n.doVoters(c)}})
 	go func() {
 		defer close(n.retired)
 		n.holder.Run(ctx)
@@ -283,6 +285,7 @@
 	mux.HandleFunc("POST /v1/duties/{name}/revoke", n.leaderWrites(n.order(catalog.Revoke)))
 	mux.HandleFunc("POST /v1/duties/{name}/park", n.leaderWrites(n.order(catalog.Park)))
 	mux.HandleFunc("POST /v1/duties/{name}/unpark", n.leaderWrites(n.order(catalog.Unpark)))
+	mux.HandleFunc("POST /v1/voters", n.leaderWrites(n.stepVoters))
 	mux.HandleFunc("POST /v1/sweep", n.leaderWrites(func(w http.ResponseWriter, r *http.Request) error {
 		var b fenceBody
 		if err := body(w, r, &b); err != nil {
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -20,6 +20,9 @@
 	saved     prometheus.Counter
 	audited   prometheus.Counter
 	unlike    prometheus.Gauge
+	changes   *prometheus.CounterVec
+	conflicts prometheus.Counter
+	replaced  prometheus.Counter
 }
 
 func newMetrics(n *Node) *metrics {
@@ -76,7 +79,25 @@
 			return count
 		})
 	}
+	for _, kind := range []string{"old", "held", "suspects", "wrongs", "full", "strange", "pauses", "rubbish", "refused", "conflicts", "unknown", "dropped"} {
+		f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_gossip_" + kind + "_total", Help: gossipHelp[kind]},
+			func() float64 { return n.gossipCounts()[kind] })
+	}
+	r.MustRegister(&memberGauge{n, prometheus.NewDesc("steward_members", "Members in this steward's view, by role and state.", []string{"role", "state"}, nil)})
+	for name, of := range map[string]func(l *catalog.Leases) int{"kept": func(l *catalog.Leases) int { return l.Kept }, "waiting": func(l *catalog.Leases) int { return l.Waiting }} {
+		f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_leases_" + name, Help: "Servers whose leases are over and that stay: most see them (kept), or too little is known (waiting)."}, func() float64 {
+			n.lead.Lock()
+			defer n.lead.Unlock()
+			if n.leases == nil {
+				return 0
+			}
+			return float64(of(n.leases))
+		})
+	}
 	return &metrics{registry: r,
+		changes:   f.NewCounterVec(prometheus.CounterOpts{Name: "steward_member_changes_total", Help: "Changes of members' states in the view."}, []string{"role", "state"}),
+		conflicts: f.NewCounter(prometheus.CounterOpts{Name: "steward_name_conflicts_total", Help: "Times that a second process of a name was heard."}),
+		replaced:  f.NewCounter(prometheus.CounterOpts{Name: "steward_voter_steps_total", Help: "Steps by which voters were replaced."}),
 		hands:     f.NewCounterVec(prometheus.CounterOpts{Name: "steward_duties_decided_total", Help: "What the leader decided on duties, by command."}, []string{"command"}),
 		saved:     f.NewCounter(prometheus.CounterOpts{Name: "steward_copies_saved_total", Help: "Copies of the state that were kept."}),
 		audited:   f.NewCounter(prometheus.CounterOpts{Name: "steward_audits_total", Help: "Times that the list was compared with what servers say."}),
@@ -89,6 +110,35 @@
 		calls:   f.NewCounterVec(prometheus.CounterOpts{Name: "steward_calls_total", Help: "Calls by kind and status."}, []string{"kind", "status"})}
 }
 
+var gossipHelp = map[string]string{"old": "News of an earlier life of a member, which changed nothing.",
+	"held": "Ends that were not believed at first: too many at once, or this process was slow.", "suspects": "Members that became suspect here.",
+	"wrongs": "Suspects that were present again without having ended.", "full": "Members that there was no room for.",
+	"strange": "Reports by somebody who is no steward.", "pauses": "Times that this process stood still.", "rubbish": "Messages that made no sense, or of a form that isn't read.",
+	"refused": "Words of members that the configuration doesn't name.", "conflicts": "Words of a second process of a name.",
+	"unknown": "Sends to names that the table doesn't have.", "dropped": "Messages that came while the queue was full."}
+
+// memberGauge counts the view's members when it is asked.
+type memberGauge struct {
+	n    *Node
+	desc *prometheus.Desc
+}
+
+func (g *memberGauge) Describe(ch chan<- *prometheus.Desc) { ch <- g.desc }
+
+func (g *memberGauge) Collect(ch chan<- prometheus.Metric) {
+	if g.n.gossip == nil {
+		return
+	}
+	v := g.n.gossip.View()
+	count := map[[2]string]int{}
+	for i := range v.Members {
+		count[[2]string{string(v.Members[i].Role), string(v.Members[i].State)}]++
+	}
+	for key, c := range count {
+		ch <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, float64(c), key[0], key[1])
+	}
+}
+
 func truth(is bool) float64 {
 	if is {
 		return 1
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,10 +16,12 @@
 	"time"
 
 	"github.com/hashicorp/raft"
+	"golang.org/x/time/rate"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/duty"
 	"molepaddle/internal/endpoints"
+	"molepaddle/internal/gossip"
 )
 
 const (
@@ -60,6 +63,13 @@
 	base     time.Duration // the state's clock when it began to lead
 	ledSince time.Time
 
+	id, life string // of the folder, and of this start
+	gossip   *gossip.Node
+	judged   verdicts
+	probes   *http.Client  // to servers
+	quiet    *rate.Limiter // for lines that one fault could repeat
+	failed   failures
+
 	reads    barriers
 	proofs   barriers // that it leads
 	holder   *duty.Runner
@@ -73,7 +83,8 @@
 
 // Start opens the data folder and joins the other stewards.
 func Start(ctx context.Context, c *Config, log *slog.Logger) (*Node, error) {
-	n := &Node{c: c, log: log, began: time.Now(), fatal: make(chan error, 1),
+	n := &Node{c: c, log: log, began: time.Now(), fatal: make(chan error, 1), life: rand.Text(),
+		probes: &http.Client{Timeout: probeWait, Transport: &http.Transport{DisableKeepAlives: true}}, quiet: rate.NewLimiter(1, 5),
 		peers: &http.Client{Timeout: peerWait, Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	table := c.Peers
@@ -104,6 +115,10 @@
 	}
 	n.own(n.follow)
 	n.own(n.tend)
+	n.own(n.inquire)
+	if n.gossip != nil {
+		n.own(n.arrive)
+	}
 	n.serveDuties()
 	return nil
 }
@@ -135,6 +150,12 @@
 	if n.store, err = openStore(n.c.Data, rl); err != nil {
 		return err
 	}
+	if n.id, err = identity(n.c.Data); err != nil {
+		return err
+	}
+	if err := n.startGossip(); err != nil {
+		return err
+	}
 	has, err := raft.HasExistingState(n.store, n.store.bolt, n.store.snaps)
 	if err != nil {
 		return fmt.Errorf("data: %w", err)
@@ -166,10 +187,14 @@
 		return fmt.Errorf("raft: %w", err)
 	}
 	n.rp.Store(r)
-	if begin {
+	if begin && !n.c.Peers[n.c.Name].Spare { // a spare hears of it from those that vote
 		var conf raft.Configuration
 		for _, name := range append([]string{n.c.Name}, n.c.others()...) {
-			conf.Servers = append(conf.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)})
+			s := raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)}
+			if n.c.Peers[name].Spare {
+				s.Suffrage = raft.Nonvoter
+			}
+			conf.Servers = append(conf.Servers, s)
 		}
 		if err := n.raft().BootstrapCluster(conf).Error(); err != nil && !errors.Is(err, raft.ErrCantBootstrap) {
 			return fmt.Errorf("raft: %w", err)
@@ -201,9 +226,14 @@
 			switch {
 			case err != nil:
 			case st.HasState:
-				if err := n.askOut(ctx); err == nil {
+				err := n.askOut(ctx)
+				var refused *HTTPError
+				switch {
+				case err == nil:
 					n.log.Info("rejoining with an empty folder", "told_by", name)
 					return false, true, nil
+				case errors.As(err, &refused) && refused.Status == http.StatusConflict:
+					return false, false, fmt.Errorf("name: %w", err)
 				}
 			default:
 				empty++
@@ -226,15 +256,19 @@
 // askOut has the others take this steward off the voters.
 func (n *Node) askOut(ctx context.Context) error {
 	return n.anyPeer(ctx, func(base string) error {
-		return call(ctx, n.peers, http.MethodDelete, base+"/v1/peers/"+n.c.Name, nil, nil)
+		return call(ctx, n.peers, http.MethodDelete, base+"/v1/peers/"+n.c.Name+"?id="+n.id, nil, nil)
 	})
 }
 
 // askIn has them take it in again, once its raft can hear them.
 func (n *Node) askIn() {
+	query := ""
+	if (*n.table.Load())[n.c.Name].Spare {
+		query = "?spare=1"
+	}
 	for {
 		err := n.anyPeer(n.ctx, func(base string) error {
-			return call(n.ctx, n.peers, http.MethodPut, base+"/v1/peers/"+n.c.Name, nil, nil)
+			return call(n.ctx, n.peers, http.MethodPut, base+"/v1/peers/"+n.c.Name+query, nil, nil)
 		})
 		if err == nil {
 			return
@@ -251,7 +285,9 @@
 func (n *Node) anyPeer(ctx context.Context, do func(base string) error) error {
 	err := errors.New("no other steward in the table")
 	for _, name := range n.c.others() {
-		if err = do("http://" + (*n.table.Load())[name].HTTP); err == nil || ctx.Err() != nil {
+		err = do("http://" + (*n.table.Load())[name].HTTP)
+		var refused *HTTPError
+		if err == nil || ctx.Err() != nil || errors.As(err, &refused) && refused.Status == http.StatusConflict {
 			return err
 		}
 	}
@@ -278,6 +314,9 @@
 // Close ends the steward: its duties are handed over first, then leadership, then its watches.
 func (n *Node) Close() {
 	n.leaveDuties()
+	if n.gossip != nil {
+		n.gossip.Leave()
+	}
 	if n.raft() != nil && n.raft().State() == raft.Leader && len(n.voters()) > 1 {
 		if err := n.raft().LeadershipTransfer().Error(); err != nil {
 			n.log.Warn("leadership was not handed over", "err", err)
@@ -304,6 +343,9 @@
 		n.trans.Close()
 	}
 	n.owned.Wait()
+	if n.gossip != nil {
+		n.gossip.Close()
+	}
 	if n.store != nil {
 		if err := n.store.Close(); err != nil {
 			n.log.Warn("the log was not closed in order", "err", err)
@@ -437,7 +479,7 @@
 	var d catalog.Decision
 	n.lead.Lock()
 	if n.leases != nil {
-		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now) })
+		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now, n.judge()) })
 	}
 	n.lead.Unlock()
 	for _, c := range []catalog.Command{{Kind: catalog.Lapse, Refs: d.Lapse}, {Kind: catalog.Hold, Refs: d.Hold},
@@ -587,6 +629,7 @@
 				behind.saw(time.Since(n.began), st.Committed)
 			}
 		}
+		n.rejoinLost(found)
 		n.lagged.Store(int64(behind.lag(time.Since(n.began), n.raft().AppliedIndex())))
 		if n.stale() && better(found) {
 			if ended := n.hub.endAll(); ended > 0 {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -189,7 +190,73 @@
 	if !known {
 		return nil, fmt.Errorf("steward %s: not in the table of peers", name)
 	}
-	return net.DialTimeout("tcp", addr, timeout)
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	// A table that leads to another steward than it says must not make that one's answers
+	// count as this one's: they would be counted twice towards a quorum.
+	_ = conn.SetWriteDeadline(time.Now().Add(timeout))
+	if _, err := conn.Write(append([]byte{calls, byte(len(name))}, name...)); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, conn.SetWriteDeadline(time.Time{})
+}
+
+// calls is the byte before the name of the steward that is dialled; no message of raft's
+// begins with it.
+const calls = 0xfe
+
+// Accept takes a connection, which is looked at with its first read.
+func (s *namedStream) Accept() (net.Conn, error) {
+	conn, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &calledConn{Conn: conn, name: s.name}, nil
+}
+
+// calledConn passes on what comes after its own steward's name, and ends where it is
+// another's. One without a name is of a build before names were sent.
+type calledConn struct {
+	net.Conn
+	name   string
+	looked bool
+	rest   []byte
+}
+
+var errCalled = errors.New("the call was for another steward")
+
+func (c *calledConn) Read(p []byte) (int, error) {
+	if !c.looked {
+		c.looked = true
+		var head [2]byte
+		if _, err := io.ReadFull(c.Conn, head[:1]); err != nil {
+			return 0, err
+		}
+		if head[0] != calls {
+			c.rest = append(c.rest, head[0])
+		} else {
+			if _, err := io.ReadFull(c.Conn, head[1:]); err != nil {
+				return 0, err
+			}
+			name := make([]byte, head[1])
+			if _, err := io.ReadFull(c.Conn, name); err != nil {
+				return 0, err
+			}
+			if string(name) != c.name {
+				c.Conn.Close()
+				return 0, fmt.Errorf("%w: %q, this is %q", errCalled, name, c.name)
+			}
+		}
+	}
+	if len(c.rest) > 0 {
+		n := copy(p, c.rest)
+		c.rest = c.rest[n:]
+		return n, nil
+	}
+	return c.Conn.Read(p)
 }
 
 // named is an address that is a name.
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	crand "crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,14 @@
 // may send it there. A reader that doesn't say so is left where it is.
 const OthersHeader = "Other-Addresses"
 
+// MemberHeader names the reader in a watch, and LifeHeader its present life, where a reader
+// wants to be known as present.
+const (
+	MemberHeader = "Member-Name"
+	LifeHeader   = "Member-Life"
+	MembersPath  = "/v1/members"
+)
+
 const (
 	// Silence ends a watch on which no line came: the service writes one every 2 s, and
 	// what it has to tell counts as told after 6 s, asking again included.
@@ -32,6 +41,7 @@
 	Order      uint64        // an order of the reader's own
 	Fleet      int           // how many readers share the service
 	Silence    time.Duration // 0: as above
+	Member     string        // the name under which the reader is known as present; "": under none
 	NeverOlder bool          // a list older than what the reader has is an address's failure
 	Transport  http.RoundTripper
 	// Failover hears why an address was left, if it is not nil. It may be called often.
@@ -44,6 +54,7 @@
 	c     ClientConfig
 	http  *http.Client
 	began time.Time
+	life  string
 
 	mu     sync.Mutex
 	choose *Chooser
@@ -71,7 +82,7 @@
 		c.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	}
 	return &Client{c: c, http: &http.Client{Transport: c.Transport}, began: time.Now(),
-		choose: NewChooser(c.Addresses, c.Order, c.Fleet)}
+		life: crand.Text(), choose: NewChooser(c.Addresses, c.Order, c.Fleet)}
 }
 
 // Set changes the addresses. A watch at one that is no longer there goes elsewhere.
@@ -175,6 +186,31 @@
 	return errEnded
 }
 
+// Leave tells the service that the reader ends as planned, at one address.
+func (c *Client) Leave(ctx context.Context) error {
+	if c.c.Member == "" {
+		return nil
+	}
+	c.mu.Lock()
+	addr := c.at
+	if addr == "" {
+		c.choose.Begin()
+		addr, _, _ = c.choose.Next(time.Since(c.began), 0)
+	}
+	c.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr+MembersPath+"/"+c.c.Member, nil)
+	if err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	req.Header.Set(LifeHeader, c.life)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
+	resp.Body.Close()
+	return nil
+}
+
 // round makes calls until one needs no other after it.
 func (c *Client) round(ctx context.Context, call func(addr string) error) error {
 	c.mu.Lock()
@@ -251,6 +287,10 @@
 	if others > 0 {
 		req.Header.Set(OthersHeader, strconv.Itoa(others))
 	}
+	if c.c.Member != "" {
+		req.Header.Set(MemberHeader, c.c.Member)
+		req.Header.Set(LifeHeader, c.life)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -23,6 +23,7 @@
 	Rate       float64       // bytes a second; 0: any
 	ResetAfter int64         // a connection breaks once it has carried so many bytes; 0: never
 	Loss       float64       // share of the datagrams that are dropped; streams lose nothing
+	Twice      float64       // share of the datagrams that arrive twice
 }
 
 // Up is what new connections meet.
--- a/internal/lab/link/udp.go
+++ b/internal/lab/link/udp.go
@@ -158,6 +158,14 @@
 		u.Dropped.Add(1)
 		return
 	}
+	u.fly(s, data, send)
+	if sh.Twice > 0 && s.lose(sh.Twice) {
+		u.fly(s, data, send)
+	}
+}
+
+// fly has a datagram arrive in its time.
+func (u *UDP) fly(s *side, data []byte, send func([]byte)) {
 	wait := time.Until(s.due(len(data)))
 	if wait <= 0 {
 		send(data)
--- a/internal/lab/mutant/mutant.go
+++ b/internal/lab/mutant/mutant.go
@@ -195,7 +195,7 @@
 	}
 	for line := range strings.Lines(said) {
 		if line = strings.TrimSpace(line); strings.Contains(line, "_test.go:") || strings.HasPrefix(line, "panic:") {
-			return strings.TrimSpace(name + " " + line)
+			return strings.TrimSpace(name + " " + line[:min(len(line), 200)])
 		}
 	}
 	return name
--- /dev/null
+++ b/internal/member/judge_test.go
@@ -0,0 +1,260 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"molepaddle/internal/catalog"
+	"molepaddle/internal/endpoints"
+)
+
+// truth is how a server is.
+type truth int
+
+const (
+	alive truth = iota
+	ended       // its machine says that nobody is there
+	dark        // its machine is gone
+)
+
+// subject is a server in the exploration: how it is, who has a way to it, whether its lease
+// is over or only late.
+type explored struct {
+	is     truth
+	ways   [3]bool
+	lapsed bool
+}
+
+// world is three stewards that vote, of whom the first leads.
+type explorers struct {
+	reach [3]bool // whom the leader hears, and is heard by; itself always
+	slow  [3]bool
+	old   [3]bool // of a version that can't be asked
+}
+
+func (w *explorers) says(o int, s *explored) Answer {
+	switch {
+	case !w.reach[o]:
+		return None
+	case w.old[o]:
+		return Agrees
+	case s.is == alive && s.ways[o]:
+		return Sees
+	case s.is == ended && s.ways[o]:
+		return Refuses
+	case w.slow[o]:
+		return Unsure
+	}
+	return Silent
+}
+
+// Each state that three observers and two subjects can be in, with the guard and without:
+// whom most see stays, one observer alone removes nobody, without the quorum nothing
+// is removed, and who is gone, late only or over, goes where the rules promise it.
+func TestExploreJudge(t *testing.T) {
+	voters := []string{"a", "b", "c"}
+	bits := func(n, i int) bool { return n>>i&1 == 1 }
+	var worlds []explorers
+	for n := range 256 {
+		worlds = append(worlds, explorers{[3]bool{true, bits(n, 0), bits(n, 1)}, [3]bool{bits(n, 2), bits(n, 3), bits(n, 4)}, [3]bool{bits(n, 5), bits(n, 6), bits(n, 7)}})
+	}
+	var subjects []explored
+	for n := range 16 {
+		for is := alive; is <= dark; is++ {
+			subjects = append(subjects, explored{is, [3]bool{bits(n, 0), bits(n, 1), bits(n, 2)}, bits(n, 3)})
+		}
+	}
+	const ttl = 6 * time.Second
+	plays, removed, kept := 0, 0, 0
+	broke := func(why string, w explorers, two [2]explored, others int, got []catalog.Ref) {
+		t.Fatalf("after %d plays: %s: %+v, %+v beside %d others: removed %v", plays, why, w, two, others, got)
+	}
+	for _, others := range []int{0, 4} { // with none beside them, both at once are a mass failure
+		st := catalog.New()
+		for i := range 2 + others {
+			h := endpoints.Host{Host: fmt.Sprint("s-", i), Dial: "127.0.0.1:9", Health: endpoints.Ready, Share: 1, BornMs: 1}
+			st.Apply(&catalog.Command{Form: catalog.Form, Kind: catalog.Register, Host: &h})
+		}
+		for _, w := range worlds {
+			quorum := w.reach[1] || w.reach[2]
+			for _, a := range subjects {
+				for _, b := range subjects {
+					if others == 0 && (w.slow != [3]bool{} || w.old != [3]bool{}) {
+						continue // what they say is played above
+					}
+					two := [2]explored{a, b}
+					plays++
+					l := catalog.Lead(catalog.LeaseConfig{TTL: ttl, Share: 0.5, Window: 10 * time.Second}, st, 0)
+					for i := range 2 + others {
+						if i >= 2 || !two[i].lapsed {
+							at := ttl / 4 // late by the end of a lease from the beginning on
+							if i >= 2 {
+								at = ttl
+							}
+							l.Renew(st, catalog.Ref{Name: fmt.Sprint("s-", i), BornMs: 1}, at)
+						}
+					}
+					answers := [2]map[string]Answer{{}, {}}
+					for i := range two {
+						for o, v := range voters {
+							answers[i][v] = w.says(o, &two[i])
+						}
+					}
+					d := l.Decide(st, ttl, func(ref catalog.Ref, over bool) catalog.Evidence {
+						i := int(ref.Name[2] - '0')
+						switch Judge(voters, quorum, over, answers[i]) {
+						case Keep:
+							return catalog.Stays
+						case Remove:
+							return catalog.Gone
+						}
+						return catalog.Unsettled
+					})
+					gone := [2]bool{}
+					for _, ref := range d.Lapse {
+						gone[ref.Name[2]-'0'] = true
+					}
+					mass := others == 0 // two of two
+					for i, s := range two {
+						sees, says, plain := 0, 0, 0
+						for _, v := range voters {
+							switch answers[i][v] {
+							case Sees:
+								sees++
+							case Silent, Agrees:
+								says++
+							case Refuses:
+								says++
+								plain++
+							}
+						}
+						promised := quorum && sees == 0 && (s.lapsed && says >= 2 || plain >= 2)
+						switch {
+						case !gone[i]:
+							kept++
+							if promised && !mass {
+								broke("one that is gone stays", w, two, others, d.Lapse)
+							}
+							continue
+						case !quorum:
+							broke("removed without the quorum", w, two, others, d.Lapse)
+						case says < 2:
+							broke("removed by one observer alone", w, two, others, d.Lapse)
+						case sees >= 2:
+							broke("removed though most see it", w, two, others, d.Lapse)
+						case !s.lapsed && (plain < 2 || sees > 0 || s.is == alive):
+							broke("removed before its time without a plain word", w, two, others, d.Lapse)
+						case mass && gone[1-i]:
+							broke("all removed at once", w, two, others, d.Lapse)
+						}
+						removed++
+					}
+				}
+			}
+		}
+	}
+	if plays < 500_000 || removed < 10_000 || kept < 10_000 {
+		t.Errorf("%d plays, %d removed, %d kept: that shows little", plays, removed, kept)
+	}
+	t.Logf("%d plays, %d removed, %d kept", plays, removed, kept)
+}
+
+// Whatever becomes of stewards, voters are replaced one step at a time, with a quorum of those
+// that are there before and after each; and once nothing happens any more, as many vote as
+// are wanted and all of them are there, if there are enough.
+func TestReplace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 9).Draw(t, "stewards")
+		wanted := rapid.SampledFrom([]int{1, 3, 5}).Draw(t, "wanted")
+		f := Fleet{Wanted: wanted, After: 30 * time.Second, Failed: map[string]time.Duration{}, There: map[string]bool{}}
+		for i := range n {
+			name := fmt.Sprint("st-", i)
+			f.There[name] = true
+			if i < min(wanted, n) {
+				f.Voters = append(f.Voters, name)
+			} else {
+				f.Spares = append(f.Spares, name)
+			}
+		}
+		f.Leader = rapid.SampledFrom(f.Voters).Draw(t, "leader")
+		alive := func() (there int) {
+			for _, v := range f.Voters {
+				if f.There[v] {
+					there++
+				}
+			}
+			return there
+		}
+		step := func() bool {
+			before := alive() >= len(f.Voters)/2+1
+			s, some := Replace(&f)
+			if !some {
+				return false
+			}
+			switch {
+			case !before:
+				t.Fatalf("%+v without a quorum: %+v", s, f)
+			case len(slices.DeleteFunc([]string{s.Add, s.Remove, s.Demote}, func(x string) bool { return x == "" })) != 1:
+				t.Fatalf("not one step: %+v", s)
+			case s.Demote != "" && (alive() < len(f.Voters) || s.Demote == f.Leader):
+				t.Fatalf("demoted %s: %+v", s.Demote, f)
+			case s.Add != "" && (!f.There[s.Add] || slices.Contains(f.Voters, s.Add)):
+				t.Fatalf("added %s: %+v", s.Add, f)
+			case s.Remove != "" && (f.There[s.Remove] || f.Failed[s.Remove] < f.After || !slices.Contains(f.Voters, s.Remove)):
+				t.Fatalf("removed %s: %+v", s.Remove, f)
+			}
+			if s.Add != "" {
+				f.Voters = append(f.Voters, s.Add)
+				f.Spares = slices.DeleteFunc(f.Spares, func(x string) bool { return x == s.Add })
+			} else {
+				f.Voters = slices.DeleteFunc(f.Voters, func(x string) bool { return x == s.Remove || x == s.Demote })
+			}
+			if s.Demote != "" {
+				f.Spares = append(f.Spares, s.Demote)
+			}
+			if alive() < len(f.Voters)/2+1 {
+				t.Fatalf("no quorum after %+v: %+v", s, f)
+			}
+			if len(f.Voters) > wanted+1 || len(f.Voters) < min(wanted, n) {
+				t.Fatalf("%d vote, %d are wanted", len(f.Voters), wanted)
+			}
+			return true
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			name := fmt.Sprint("st-", rapid.IntRange(0, n-1).Draw(t, "who"))
+			if f.There[name] = !f.There[name]; f.There[name] {
+				delete(f.Failed, name)
+				if !slices.Contains(f.Voters, name) && !slices.Contains(f.Spares, name) {
+					f.Spares = append(f.Spares, name) // replaced while away
+				}
+			} else {
+				f.Failed[name] = 0
+			}
+			for range rapid.IntRange(0, 3).Draw(t, "steps") {
+				for who := range f.Failed {
+					f.Failed[who] += 20 * time.Second
+				}
+				step()
+			}
+		}
+		for who := range f.Failed {
+			f.Failed[who] += time.Hour
+		}
+		for range 20 {
+			step()
+		}
+		there := 0
+		for _, is := range f.There {
+			if is {
+				there++
+			}
+		}
+		if alive() >= len(f.Voters)/2+1 && there > wanted && (len(f.Voters) != wanted || alive() != wanted) {
+			t.Fatalf("in the end %v vote, there are %v, %d wanted", f.Voters, f.There, wanted)
+		}
+	})
+}
--- /dev/null
+++ b/internal/member/tracker_test.go
@@ -0,0 +1,349 @@
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func steward(name string, incarnation int64) Info {
+	return Info{Form: Form, Name: name, Role: Steward, Incarnation: incarnation, ID: "f-" + name}
+}
+
+func agentOf(name, life string) Info { return Info{Form: Form, Name: name, Role: Agent, ID: life} }
+
+// five is a steward that has four others as present, all heard just now.
+func five(now time.Duration) *Tracker {
+	t := NewTracker(Defaults(steward("a", 1)))
+	for _, name := range []string{"b", "c", "d", "e"} {
+		t.Alive(now, steward(name, 1))
+		t.Peer(now, name)
+	}
+	t.Tick(now)
+	return t
+}
+
+func says(from string, seq int64, state State, incarnation int64, names ...string) *Report {
+	r := &Report{Form: Form, From: from, Incarnation: 1, Seq: seq, Life: from}
+	for _, n := range names {
+		role := Steward
+		if n[0] == 'n' {
+			role = Agent
+		}
+		r.Sights = append(r.Sights, Sight{Name: n, Role: role, State: state, Incarnation: incarnation})
+	}
+	return r
+}
+
+// What one observer makes of what it hears, step by step.
+func TestTracker(t *testing.T) {
+	const s = time.Second
+	type want struct {
+		at    time.Duration
+		name  string
+		state State
+	}
+	for name, c := range map[string]struct {
+		do   map[time.Duration]func(t *Tracker, now time.Duration)
+		want []want
+	}{
+		"a death is believed once the dead was not heard for a while, and a return too": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s:  func(t *Tracker, now time.Duration) { t.Dead(now, "b") },
+				10 * s: func(t *Tracker, now time.Duration) { t.Alive(now, steward("b", 2)); t.Reached(now, "b") }},
+			[]want{{1 * s, "b", Suspect}, {2 * s, "b", Failed}, {9 * s, "b", Failed}, {10 * s, "b", Present}}},
+		"who doesn't answer this one itself is in doubt, and never dead by that alone": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Reached(now, "c"); t.Reached(now, "d"); t.Reached(now, "e") }},
+			[]want{{2 * s, "b", Present}, {3 * s, "b", Suspect}, {3 * s, "c", Present}, {30 * s, "b", Suspect}}},
+		"one of four observers has its doubts: it is present": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) {
+					for i, from := range []string{"c", "d", "e"} {
+						t.Report(now, says(from, int64(i+1), Present, 1, "b"))
+					}
+				}},
+			[]want{{3 * s, "b", Present}, {9 * s, "b", Present}}},
+		"most have it as failed": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) {
+					t.Report(now, says("c", 1, Failed, 1, "b"))
+					t.Report(now, says("d", 1, Failed, 1, "b"))
+				}},
+			[]want{{1 * s, "b", Failed}}},
+		"too many deaths at once are not believed, not even after long": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				4 * s: func(t *Tracker, now time.Duration) {
+					t.Dead(now, "b")
+					t.Dead(now, "c")
+					t.Dead(now, "d")
+					t.Dead(now, "e")
+				}},
+			[]want{{5 * s, "e", Suspect}, {60 * s, "e", Suspect}, {60 * s, "d", Suspect}}},
+		"unless most that are left say the same": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				4 * s: func(t *Tracker, now time.Duration) {
+					t.Reached(now, "e")
+					t.Dead(now, "b")
+					t.Dead(now, "c")
+					t.Dead(now, "d")
+				},
+				5 * s: func(t *Tracker, now time.Duration) {
+					t.Reached(now, "e")
+					t.Report(now, says("e", 1, Suspect, 1, "b", "c", "d"))
+				},
+				6 * s: func(t *Tracker, now time.Duration) {
+					t.Reached(now, "e")
+					t.Report(now, says("e", 2, Failed, 1, "b", "c", "d"))
+				}},
+			[]want{{4 * s, "d", Suspect}, {5 * s, "d", Suspect}, {6 * s, "d", Failed}}},
+		"who stood still accuses nobody of silence": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				10 * s: func(t *Tracker, now time.Duration) { t.Paused(now, 10*s); t.Dead(now, "b") },
+				11 * s: func(t *Tracker, now time.Duration) {
+					t.Alive(now, steward("b", 1))
+					for _, n := range []string{"b", "c", "d", "e"} {
+						t.Reached(now, n)
+					}
+				}},
+			[]want{{10 * s, "b", Suspect}, {10 * s, "c", Present}, {12 * s, "b", Present}}},
+		"news of an earlier life changes nothing": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Alive(now, steward("b", 5)) },
+				2 * s: func(t *Tracker, now time.Duration) {
+					for i, from := range []string{"c", "d", "e"} {
+						t.Report(now, says(from, int64(i+1), Left, 4, "b"))
+					}
+					old := steward("b", 4)
+					old.Leaving = true
+					t.Alive(now, old)
+				}},
+			[]want{{2 * s, "b", Present}}},
+		"a planned leave": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { i := steward("b", 1); i.Leaving = true; t.Alive(now, i) },
+				2 * s: func(t *Tracker, now time.Duration) { t.Dead(now, "b") }},
+			[]want{{1 * s, "b", Present}, {2 * s, "b", Left}}},
+		"without a number it is joining": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Alive(now, steward("f", 0)) },
+				2 * s: func(t *Tracker, now time.Duration) { t.Alive(now, steward("f", 9)) }},
+			[]want{{1 * s, "f", Joining}, {2 * s, "f", Present}}},
+		"a session that ends, and nobody has it": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Open(now, agentOf("n1", "x")) },
+				5 * s: func(t *Tracker, now time.Duration) { t.Closed(now, "n1") }},
+			[]want{{4 * s, "n1", Present}, {6 * s, "n1", Present}, {7 * s, "n1", Suspect}, {8 * s, "n1", Failed}}},
+		"a session that moves": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Open(now, agentOf("n1", "x")) },
+				5 * s: func(t *Tracker, now time.Duration) { t.Closed(now, "n1") },
+				6 * s: func(t *Tracker, now time.Duration) { t.Report(now, says("c", 1, Present, 0, "n1")) }},
+			[]want{{6 * s, "n1", Present}, {8 * s, "n1", Present}, {17 * s, "n1", Present}, {19 * s, "n1", ""}}},
+		"an agent that leaves, and whose old word comes late": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) {
+					t.Open(now, agentOf("n1", "x"))
+					t.Leaves(now, agentOf("n1", "x"))
+				},
+				2 * s: func(t *Tracker, now time.Duration) { t.Open(now, agentOf("n1", "y")) },
+				3 * s: func(t *Tracker, now time.Duration) { t.Leaves(now, agentOf("n1", "x")) }},
+			[]want{{1 * s, "n1", Left}, {2 * s, "n1", Present}, {4 * s, "n1", Present}}},
+		"a report of one that is no steward, one out of order, one of a life before": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) {
+					t.Alive(now, Info{Form: Form, Name: "w", Role: Worker, Incarnation: 1})
+					t.Report(now, says("w", 1, Present, 0, "n1"))
+					t.Report(now, says("z", 1, Present, 0, "n1"))
+					t.Report(now, says("c", 2, Failed, 0, "n2"))
+					t.Report(now, says("c", 1, Present, 0, "n2"))
+					other := says("c", 9, Present, 0, "n2")
+					other.Life = "another"
+					t.Report(now, other)
+				}},
+			[]want{{1 * s, "n1", ""}, {1 * s, "n2", Failed}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := five(0)
+			for now := time.Duration(0); now <= 61*s; now += s {
+				if do := c.do[now]; do != nil {
+					do(tr, now)
+				}
+				tr.Tick(now)
+				for _, w := range c.want {
+					if v := tr.View(now); w.at == now && v.State(w.name) != w.state {
+						t.Errorf("at %v %s is %q, want %q: %+v", now, w.name, v.State(w.name), w.state, v.Members)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Three observers between whom sessions move, whose news is lost and comes late: a session that
+// is open anywhere is present everywhere within moments, however it went; a life never goes
+// back; and once nothing happens any more all views are equal, and say how it is.
+func TestObserversAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		all := map[string]*Tracker{}
+		for _, n := range names {
+			all[n] = NewTracker(Defaults(steward(n, 1)))
+			for _, o := range names {
+				if o != n {
+					all[n].Alive(0, steward(o, 1))
+				}
+			}
+		}
+		type note struct {
+			due  time.Duration
+			to   string
+			text []byte
+		}
+		var notes []note
+		open := map[string]string{} // at which observer
+		lives := map[string]int64{}
+		now := time.Duration(0)
+		pass := func(lossy bool) {
+			now += 100 * time.Millisecond
+			for _, n := range names {
+				r, some := all[n].News(now, 4)
+				if now%time.Second == 0 {
+					r, some = all[n].Own(now), true
+				}
+				r.Life = n
+				text, _ := json.Marshal(r)
+				for _, o := range names {
+					if o == n || !some || lossy && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+						continue
+					}
+					late := time.Duration(0)
+					if lossy {
+						late = time.Duration(rapid.IntRange(0, 3).Draw(t, "late")) * 100 * time.Millisecond
+					}
+					notes = append(notes, note{now + late, o, text})
+				}
+			}
+			var rest []note
+			for _, x := range notes {
+				if x.due > now {
+					rest = append(rest, x)
+					continue
+				}
+				if r, err := DecodeReport(x.text); err != nil {
+					t.Fatal(err)
+				} else {
+					all[x.to].Report(now, &r)
+				}
+			}
+			notes = rest
+			for _, n := range names {
+				all[n].Tick(now)
+				for _, e := range func() []Entry { v := all[n].View(now); return v.Members }() {
+					if e.Role != Steward && e.Incarnation < lives[n+e.Name] {
+						t.Fatalf("%s: %s is of life %d, and was of %d", n, e.Name, e.Incarnation, lives[n+e.Name])
+					}
+					lives[n+e.Name] = e.Incarnation
+				}
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "events") {
+			who, at := fmt.Sprint("n", rapid.IntRange(0, 2).Draw(t, "agent")), rapid.SampledFrom(names).Draw(t, "at")
+			switch rapid.SampledFrom([]string{"open", "move", "close", "server"}).Draw(t, "event") {
+			case "open", "move":
+				if was := open[who]; was != "" {
+					all[was].Closed(now, who)
+				}
+				all[at].Open(now, agentOf(who, who))
+				open[who] = at
+			case "close":
+				if was := open[who]; was != "" {
+					all[was].Closed(now, who)
+					delete(open, who)
+				}
+			case "server":
+				born := int64(rapid.IntRange(1, 5).Draw(t, "born"))
+				all[at].Heard(now, Info{Form: Form, Name: "s", Role: Server, Incarnation: born}, 2*time.Second)
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "passes") {
+				pass(true)
+			}
+			for who, at := range open {
+				if v := all[at].View(now); v.State(who) != Present {
+					t.Fatalf("%s watches at %s, which has it as %q", who, at, v.State(who))
+				}
+			}
+		}
+		for range 200 {
+			pass(false)
+		}
+		for _, n := range names {
+			v := all[n].View(now)
+			for i := range 3 {
+				who := fmt.Sprint("n", i)
+				if st := v.State(who); (open[who] != "") != (st == Present) {
+					t.Fatalf("in the end %s is open at %q, %s has it as %q: %+v", who, open[who], n, st, v.Members)
+				}
+			}
+			if w := all["a"].View(now); w.State("s") != v.State("s") {
+				t.Fatalf("in the end s is %q and %q", w.State("s"), v.State("s"))
+			}
+		}
+	})
+}
+
+// What differs between views, since when, and who is alone.
+func TestCompare(t *testing.T) {
+	view := func(from string, of map[string]State) View {
+		v := View{From: from}
+		for name, st := range of {
+			role := Steward
+			if name[0] == 'n' {
+				role = Agent
+			}
+			v.Members = append(v.Members, Entry{Name: name, Role: role, State: st, Observers: []Opinion{{from, st, 1, int64(from[0]-'a'+1) * 1000}, {"x", Failed, 1, 1}}})
+		}
+		return v
+	}
+	got := Compare([]View{view("a", map[string]State{"b": Present, "c": Suspect, "d": Present, "n1": Present}), view("b", map[string]State{"a": Present, "c": Present, "d": Present, "n1": Failed}),
+		view("c", map[string]State{"a": Present, "b": Present, "d": Present}), view("d", map[string]State{"a": Present, "b": Present, "c": Present, "n1": Suspect})})
+	if len(got) != 1 || got[0].Name != "c" || got[0].Alone != "a" || got[0].ForMs != 1000 || got[0].Says["b"] != "present" {
+		t.Errorf("%+v", got)
+	}
+	if got := Compare([]View{view("a", map[string]State{"b": Present}), view("b", map[string]State{"a": Present})}); len(got) != 0 {
+		t.Errorf("of one mind: %+v", got)
+	}
+	if got := Compare([]View{view("a", map[string]State{"b": Present, "c": Present}), view("b", map[string]State{"a": Present}), view("c", map[string]State{"a": Present, "b": Present})}); len(got) != 1 ||
+		got[0].Name != "c" || len(got[0].Absent) != 1 || got[0].Absent[0] != "b" {
+		t.Errorf("one that is not known to all: %+v", got)
+	}
+}
+
+// FuzzDecode: what others send makes sense or is refused, and what is taken harms nobody.
+func FuzzDecode(f *testing.F) {
+	tr := five(0)
+	tr.Open(0, agentOf("n1", "x"))
+	own, _ := json.Marshal(tr.Own(0))
+	info, _ := json.Marshal(steward("b", 3))
+	for _, seed := range [][]byte{own, info, []byte("{}"), []byte(`{"f":2,"n":"b"}`), []byte(`{"f":1,"n":"b","o":[{"n":"c","r":"steward","s":"present","t":-1}]}`), nil} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		tr := five(0)
+		if i, err := DecodeInfo(text); err == nil {
+			tr.Alive(time.Second, i)
+		}
+		if r, err := DecodeReport(text); err == nil {
+			tr.Report(time.Second, &r)
+		}
+		tr.Dead(2*time.Second, "b")
+		tr.Tick(5 * time.Second)
+		v := tr.View(5 * time.Second)
+		if v.State("a") != Present || len(v.Members) > MostMembers+5 {
+			t.Errorf("%+v", v)
+		}
+	})
+}
