Membership: rumours passed on and held word by word, evidence in the lab, notice measured

Need: of fifty gossiping processes the last learnt of a death 2.9 s after the first, and views of agents forgot some of them: news was sent to eight processes and passed on by none, came out of order and was dropped, and whole reports came round too seldom. Change: what is new in a report is passed on; each word is held against the one before about the same member; stewards tell each other all every 4 s; the word of an observer that ended counts no more, and what it alone saw is in doubt before it has failed. The detector waits as long in a small fleet as in a large one.

--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -35,6 +35,10 @@
 		workerMain()
 		os.Exit(0)
 	}
+	if os.Getenv("MEMBER_CHILD") == "1" {
+		memberMain()
+		os.Exit(0)
+	}
 	if os.Getenv("AGENT_CHILD") == "1" {
 		agentMain()
 		os.Exit(0)
--- /dev/null
+++ b/cmd/steward/notice_test.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"molepaddle/internal/gossip"
+	"molepaddle/internal/lab/link"
+	"molepaddle/internal/lab/loopback"
+	"molepaddle/internal/lab/process"
+	"molepaddle/internal/member"
+)
+
+// memberMain is a process that gossips and does nothing else. Its log tells what it notices.
+func memberMain() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	var peers map[string]string
+	text, err := os.ReadFile(os.Getenv("MEMBER_PEERS"))
+	if err == nil {
+		err = json.Unmarshal(text, &peers)
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err != nil {
+		log.Error("peers", "err", err)
+		os.Exit(1)
+	}
+	self := member.Info{Form: member.Form, Name: os.Getenv("MEMBER_NAME"), Role: member.Role(os.Getenv("MEMBER_ROLE"))}
+	self.Incarnation, _ = strconv.ParseInt(os.Getenv("MEMBER_LIFE"), 10, 64)
+	n, err := gossip.Start(gossip.Config{Self: self, Listen: os.Getenv("MEMBER_LISTEN"), Log: log, Tracker: member.Defaults(self),
+		Peers: func() map[string]string { return peers },
+		Changed: func(changes []member.Change) {
+			for _, c := range changes {
+				log.Info("member", "name", c.Name, "to", c.To)
+			}
+		}})
+	if err != nil {
+		log.Error("gossip", "err", err)
+		os.Exit(1)
+	}
+	<-ctx.Done()
+	c := n.Counts()
+	log.Info("counts", "sent", c.Sent, "wrongs", c.Wrongs, "suspects", c.Suspects, "held", c.Held)
+	n.Close()
+}
+
+// troop is processes that gossip, five of them observers.
+type troop struct {
+	b     testing.TB
+	names []string
+	procs map[string]*process.Process
+	lives map[string]int64
+	links []*link.UDP
+}
+
+func newTroop(b testing.TB, n int, loss float64) *troop {
+	addrs, err := loopback.Claim()
+	if err != nil {
+		b.Fatal(err)
+	}
+	dir := b.TempDir()
+	t := &troop{b: b, procs: map[string]*process.Process{}, lives: map[string]int64{}}
+	sup := process.New(nil)
+	b.Cleanup(func() {
+		sup.Close()
+		for _, l := range t.links {
+			l.Close()
+		}
+		addrs.Close()
+	})
+	at := map[string]string{}
+	for i := range n {
+		name := fmt.Sprintf("m-%03d", i)
+		if at[name], err = addrs.FreePort(); err != nil {
+			b.Fatal(err)
+		}
+		t.names = append(t.names, name)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		b.Fatal(err)
+	}
+	table := map[string]string{}
+	for i, name := range t.names {
+		table[name] = at[name]
+		if loss > 0 { // what comes to it over datagrams; streams come as they are
+			ip := fmt.Sprintf("%s:0", addrs.IP())
+			tcp, err := link.New(ip, at[name], 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			u, err := link.NewUDP(tcp.Addr(), at[name], uint64(i))
+			if err != nil {
+				b.Fatal(err)
+			}
+			u.Set(link.Shape{Loss: loss, Jitter: 20 * time.Millisecond}, link.Shape{})
+			b.Cleanup(tcp.Close)
+			t.links = append(t.links, u)
+			table[name] = tcp.Addr()
+		}
+	}
+	text, _ := json.Marshal(table)
+	file := filepath.Join(dir, "peers.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		b.Fatal(err)
+	}
+	for i, name := range t.names {
+		role := member.Worker
+		if i < 5 {
+			role = member.Steward
+		}
+		t.procs[name] = sup.Add(process.Spec{Name: name, Path: exe, Log: filepath.Join(dir, name+".log"), Env: []string{"MEMBER_CHILD=1", "MEMBER_NAME=" + name,
+			"MEMBER_ROLE=" + string(role), "MEMBER_LISTEN=" + at[name], "MEMBER_PEERS=" + file}})
+		t.start(name)
+	}
+	return t
+}
+
+func (t *troop) start(name string) {
+	t.lives[name]++
+	p := t.procs[name]
+	p.Env = append(p.Env[:5:5], fmt.Sprint("MEMBER_LIFE=", t.lives[name]))
+	if err := p.Start(); err != nil {
+		t.b.Fatal(err)
+	}
+}
+
+var noticed = regexp.MustCompile(`(?m)^time=(\S+) level=INFO msg=member name=(\S+) to=(\S+)$`)
+
+// when tells, by observer, at which times it came to have a member in a state.
+func (t *troop) when(state member.State) map[string]map[string][]time.Time {
+	out := map[string]map[string][]time.Time{}
+	for _, o := range t.names {
+		text, err := os.ReadFile(t.procs[o].Log)
+		if err != nil {
+			t.b.Fatal(err)
+		}
+		for _, m := range noticed.FindAllSubmatch(text, -1) {
+			if at, err := time.Parse(time.RFC3339Nano, string(m[1])); err == nil && string(m[3]) == string(state) {
+				if out[o] == nil {
+					out[o] = map[string][]time.Time{}
+				}
+				out[o][string(m[2])] = append(out[o][string(m[2])], at)
+			}
+		}
+	}
+	return out
+}
+
+// BenchmarkNotice kills members that gossip, one each second, and measures by their logs when
+// the first and the last of the others have each as failed; and what a process uses at rest.
+func BenchmarkNotice(b *testing.B) {
+	for _, n := range []int{5, 20, 50, 100} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			t := newTroop(b, n, 0)
+			time.Sleep(8 * time.Second)
+			sum := func() (cpu time.Duration) {
+				for _, p := range t.procs {
+					use, _, _ := p.Look()
+					cpu += use.CPU
+				}
+				return cpu
+			}
+			before := sum()
+			time.Sleep(10 * time.Second)
+			b.ReportMetric(float64(sum()-before)/float64(n)/float64(10*time.Second)*1000, "millicores/process")
+			kills := map[string]time.Time{}
+			type end struct {
+				name string
+				at   time.Time
+			}
+			var ends []end
+			var back sync.WaitGroup
+			rng := rand.New(rand.NewPCG(9, uint64(n)))
+			var mu sync.Mutex
+			for range 100 {
+				mu.Lock()
+				name := t.names[rng.IntN(n)]
+				for !kills[name].IsZero() {
+					name = t.names[rng.IntN(n)]
+				}
+				kills[name] = time.Now()
+				mu.Unlock()
+				t.procs[name].Kill()
+				ends = append(ends, end{name, kills[name]})
+				back.Add(1)
+				go func() {
+					defer back.Done()
+					time.Sleep(6 * time.Second)
+					mu.Lock()
+					defer mu.Unlock()
+					t.start(name)
+					time.AfterFunc(4*time.Second, func() { mu.Lock(); delete(kills, name); mu.Unlock() })
+				}()
+				time.Sleep(time.Duration(max(1000, 24000/n)) * time.Millisecond)
+			}
+			back.Wait()
+			failed := t.when(member.Failed)
+			var first, spread []time.Duration
+			missed := 0
+			for _, e := range ends {
+				lo, hi := time.Duration(1<<62), time.Duration(0)
+				for _, o := range t.names {
+					for _, at := range failed[o][e.name] {
+						if d := at.Sub(e.at); d > 0 && d < 6*time.Second {
+							lo, hi = min(lo, d), max(hi, d)
+						}
+					}
+				}
+				if hi == 0 {
+					missed++
+					continue
+				}
+				first, spread = append(first, lo), append(spread, hi-lo)
+			}
+			report(b, "first", first)
+			report(b, "spread", spread)
+			b.ReportMetric(float64(missed), "missed")
+		})
+	}
+}
+
+// BenchmarkWrong has fifty members gossip over a network that loses a fifth of the datagrams,
+// a random one of them standing still for up to 5 s now and then, and counts for how many of
+// a member's hours another that was there was taken for failed or suspected. WRONG_FOR is how
+// long it goes on.
+func BenchmarkWrong(b *testing.B) {
+	lasts, err := time.ParseDuration(os.Getenv("WRONG_FOR"))
+	if err != nil {
+		lasts = 2 * time.Minute
+	}
+	t := newTroop(b, 50, 0.2)
+	time.Sleep(8 * time.Second)
+	base := 0
+	count := func() (n int) {
+		for _, by := range t.when(member.Failed) {
+			for _, at := range by {
+				n += len(at)
+			}
+		}
+		return n
+	}
+	base = count()
+	rng := rand.New(rand.NewPCG(10, 1))
+	stops := 0
+	for end := time.Now().Add(lasts); time.Now().Before(end); stops++ {
+		p := t.procs[t.names[rng.IntN(50)]]
+		if err := p.Signal(syscall.SIGSTOP); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(time.Duration(rng.IntN(5000)) * time.Millisecond)
+		if err := p.Signal(syscall.SIGCONT); err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	b.ReportMetric(float64(count()-base)/lasts.Hours(), "failed/h-over-50-views")
+	b.ReportMetric(float64(stops), "pauses")
+	b.ReportMetric(0, "ns/op")
+}
--- a/internal/catalog/duty_test.go
+++ b/internal/catalog/duty_test.go
@@ -302,3 +302,26 @@
 		t.Errorf("the one that kills: %+v; the one beside it: %+v", s.Duties["killer"], s.Duties["innocent"])
 	}
 }
+
+// Whom the view doesn't have as present gets a duty only where nobody else has room.
+func TestAbsent(t *testing.T) {
+	s := New()
+	for _, p := range []string{"a", "b"} {
+		do(s, 0, Command{Kind: Open, Session: &Session{Process: p, ID: p, Cap: 2}})
+	}
+	for i := range 3 {
+		do(s, 0, Command{Kind: Define, Duty: &Duty{Name: fmt.Sprint("d-", i), TTL: time.Second, Process: "a"}})
+	}
+	tenures := Succeed(0)
+	tenures.Absent = map[string]bool{"a": true}
+	for _, c := range tenures.Decide(s, 0) {
+		do(s, 0, c)
+	}
+	held := map[string]int{}
+	for _, d := range s.Duties {
+		held[d.Holder]++
+	}
+	if held["b"] != 2 || held["a"] != 1 {
+		t.Errorf("held: %v", held)
+	}
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -658,5 +658,5 @@
 	c := n.gossip.Counts()
 	return map[string]float64{"old": float64(c.Old), "held": float64(c.Held), "suspects": float64(c.Suspects), "wrongs": float64(c.Wrongs),
 		"full": float64(c.Full), "strange": float64(c.Strange), "pauses": float64(c.Pauses), "rubbish": float64(c.Rubbish),
-		"refused": float64(c.Refused), "conflicts": float64(c.Conflicts), "unknown": float64(c.Unknown), "dropped": float64(c.Dropped)}
+		"refused": float64(c.Refused), "conflicts": float64(c.Conflicts), "unknown": float64(c.Unknown), "dropped": float64(c.Dropped), "sent_bytes": float64(c.Sent)}
 }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -79,7 +79,7 @@
 			return count
 		})
 	}
-	for _, kind := range []string{"old", "held", "suspects", "wrongs", "full", "strange", "pauses", "rubbish", "refused", "conflicts", "unknown", "dropped"} {
+	for _, kind := range []string{"old", "held", "suspects", "wrongs", "full", "strange", "pauses", "rubbish", "refused", "conflicts", "unknown", "dropped", "sent_bytes"} {
 		f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_gossip_" + kind + "_total", Help: gossipHelp[kind]},
 			func() float64 { return n.gossipCounts()[kind] })
 	}
@@ -115,7 +115,7 @@
 	"wrongs": "Suspects that were present again without having ended.", "full": "Members that there was no room for.",
 	"strange": "Reports by somebody who is no steward.", "pauses": "Times that this process stood still.", "rubbish": "Messages that made no sense, or of a form that isn't read.",
 	"refused": "Words of members that the configuration doesn't name.", "conflicts": "Words of a second process of a name.",
-	"unknown": "Sends to names that the table doesn't have.", "dropped": "Messages that came while the queue was full."}
+	"unknown": "Sends to names that the table doesn't have.", "dropped": "Messages that came while the queue was full.", "sent_bytes": "Bytes that gossip sent."}
 
 // memberGauge counts the view's members when it is asked.
 type memberGauge struct {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,6 +10,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -38,8 +39,9 @@
 }
 
 // Times of the protocol. A death is suspected within one or two probes and believed after
-// four to seven of them, fewer where others confirm it.
+// believeAfter, or up to twice that where few others confirm it.
 const (
+	believeAfter = 1700 * time.Millisecond
 	probeEvery   = 250 * time.Millisecond
 	probeWait    = 125 * time.Millisecond
 	gossipEvery  = 100 * time.Millisecond
@@ -74,6 +76,7 @@
 	self member.Info
 
 	known    sync.Map // names that are alive by the library
+	telling  sync.Map // names to which all is being told
 	asked    sync.Map // names whose answer is waited for
 	lost     int      // which of the missing is asked next
 	pauses   atomic.Int64
@@ -101,7 +104,11 @@
 	lc.Name, lc.Transport = c.Self.Name, n.trans
 	lc.RequireNodeNames = true
 	lc.ProbeInterval, lc.ProbeTimeout, lc.GossipInterval, lc.PushPullInterval, lc.TCPTimeout = probeEvery, probeWait, gossipEvery, fullEvery, streamWait
-	lc.SuspicionMult, lc.SuspicionMaxTimeoutMult = 4, 3
+	// The library waits for the multiple times the logarithm of the number of members: less for a
+	// fleet of many to notice as soon, more for one of few not to accuse sooner.
+	many := math.Max(1, math.Log10(float64(max(len(c.Peers()), 1))))
+	lc.SuspicionMult = max(3, int(float64(believeAfter)/float64(probeEvery)/many+0.5))
+	lc.SuspicionMaxTimeoutMult = 2
 	lc.DeadNodeReclaimTime = time.Second
 	lc.EnableCompression = false
 	lc.Logger = log.New(&logLines{log: c.Log, limit: rate.NewLimiter(5, 20)}, "", 0)
@@ -122,6 +129,7 @@
 	n.own(n.rejoin)
 	if c.Self.Role == member.Steward {
 		n.own(n.reach)
+		n.own(n.tellStewards)
 	}
 	return n, nil
 }
@@ -178,15 +186,15 @@
 // Counts is what a process counted.
 type Counts struct {
 	member.Counts
-	Pauses, Rubbish, Refused, Conflicts, Unknown, Dropped int64
-	Health, Queued                                        int
+	Pauses, Rubbish, Refused, Conflicts, Unknown, Dropped, Sent int64
+	Health, Queued                                              int
 }
 
 // Counts tells what was counted.
 func (n *Node) Counts() (c Counts) {
 	n.Do(func(_ time.Duration, t *member.Tracker) { c.Counts = t.Counts() })
 	c.Pauses, c.Rubbish, c.Refused, c.Conflicts = n.pauses.Load(), n.rubbish.Load(), n.refused.Load(), n.conflict.Load()
-	c.Unknown, c.Dropped = n.trans.unknown.Load(), n.trans.dropped.Load()
+	c.Unknown, c.Dropped, c.Sent = n.trans.unknown.Load(), n.trans.dropped.Load(), n.trans.sent.Load()
 	c.Health, c.Queued = n.list.GetHealthScore(), n.queue.NumQueued()
 	return c
 }
@@ -301,38 +309,89 @@
 		case <-n.ctx.Done():
 			return
 		}
-		var stewards []string
+		stewards := n.stewards()
 		n.Do(func(now time.Duration, t *member.Tracker) {
-			v := t.View(now)
-			for i := range v.Members {
-				if e := &v.Members[i]; e.Role == member.Steward && e.Name != n.c.Self.Name {
-					stewards = append(stewards, e.Name)
-					if e.State != member.Left {
-						t.Peer(now, e.Name)
-					}
-				}
+			for _, name := range stewards {
+				t.Peer(now, name)
 			}
 		})
-		if len(stewards) > mostReaches {
-			rand.Shuffle(len(stewards), func(i, j int) { stewards[i], stewards[j] = stewards[j], stewards[i] })
-			stewards = stewards[:mostReaches]
-		}
-		for _, name := range stewards {
-			if _, busy := n.asked.LoadOrStore(name, true); busy {
-				continue
+		beside(&asking, &n.asked, stewards, func(name string) {
+			if _, err := n.list.Ping(name, &net.UDPAddr{IP: net.IPv4zero}); err == nil {
+				n.Do(func(now time.Duration, t *member.Tracker) { t.Reached(now, name) })
 			}
-			asking.Add(1)
-			go func() {
-				defer asking.Done()
-				defer n.asked.Delete(name)
-				if _, err := n.list.Ping(name, &net.UDPAddr{IP: net.IPv4zero}); err == nil {
-					n.Do(func(now time.Duration, t *member.Tracker) { t.Reached(now, name) })
-				}
-			}()
+		})
+	}
+}
+
+// stewards are the others that have not left, some of them drawn if there are many.
+func (n *Node) stewards() (names []string) {
+	v := n.View()
+	for i := range v.Members {
+		if e := &v.Members[i]; e.Role == member.Steward && e.Name != n.c.Self.Name && e.State != member.Left {
+			names = append(names, e.Name)
+		}
+	}
+	if len(names) > mostReaches {
+		rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:mostReaches]
+	}
+	return names
+}
+
+// beside does something for each name, but for those for which it is still being done.
+func beside(all *sync.WaitGroup, busy *sync.Map, names []string, do func(name string)) {
+	for _, name := range names {
+		if _, is := busy.LoadOrStore(name, true); is {
+			continue
 		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			defer busy.Delete(name)
+			do(name)
+		}()
 	}
 }
 
+// tellStewards tells each of the others all that this process thinks. The library's own
+// exchange, with one drawn member at a time, comes round too seldom for that.
+func (n *Node) tellStewards() {
+	t := time.NewTicker(fullEvery)
+	defer t.Stop()
+	var telling sync.WaitGroup
+	defer telling.Wait()
+	for {
+		select {
+		case <-t.C:
+		case <-n.ctx.Done():
+			return
+		}
+		text := n.whole()
+		beside(&telling, &n.telling, n.stewards(), func(name string) {
+			if _, alive := n.known.Load(name); !alive {
+				return
+			}
+			// The transport goes by the name alone.
+			to := &memberlist.Node{Name: name, Addr: net.IPv4zero}
+			if err := n.list.SendReliable(to, text); err != nil {
+				n.log.Debug("not told", "member", name, "err", err)
+			}
+		})
+	}
+}
+
+// whole is all that this process thinks.
+func (n *Node) whole() []byte {
+	var r member.Report
+	n.Do(func(now time.Duration, t *member.Tracker) { r = t.Own(now) })
+	r.Life = n.life
+	text, err := json.Marshal(r)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
 // delegate is what the library asks and tells. It is called with the library's lock held, so
 // nothing here calls the library.
 type delegate struct{ n *Node }
@@ -361,7 +420,14 @@
 	if r.From == d.n.c.Self.Name {
 		return
 	}
-	d.n.Do(func(now time.Duration, t *member.Tracker) { t.Report(now, &r) })
+	fresh := false
+	d.n.Do(func(now time.Duration, t *member.Tracker) { fresh = t.Report(now, &r) })
+	if fresh && !r.Whole {
+		// The library passes its own news on, and leaves that of its users to them. Who has it
+		// already doesn't, so a rumour ends by itself.
+		d.n.queue.QueueBroadcast(broadcast(slices.Clone(text)))
+		d.n.queue.Prune(mostRumours)
+	}
 }
 
 func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
@@ -369,18 +435,10 @@
 }
 
 func (d *delegate) LocalState(bool) []byte {
-	n := d.n
-	if n.c.Self.Role != member.Steward {
-		return nil
-	}
-	var r member.Report
-	n.Do(func(now time.Duration, t *member.Tracker) { r = t.Own(now) })
-	r.Life = n.life
-	text, err := json.Marshal(r)
-	if err != nil {
+	if d.n.c.Self.Role != member.Steward {
 		return nil
 	}
-	return text
+	return d.n.whole()
 }
 
 func (d *delegate) MergeRemoteState(text []byte, _ bool) { d.report(text) }
--- a/internal/gossip/transport.go
+++ b/internal/gossip/transport.go
@@ -23,6 +23,7 @@
 	owned   sync.WaitGroup
 	unknown atomic.Int64 // sends to names that the table doesn't have
 	dropped atomic.Int64 // datagrams that came while the queue was full
+	sent    atomic.Int64 // bytes of datagrams, and of streams that it made
 
 }
 
@@ -142,7 +143,8 @@
 	if err != nil {
 		return time.Time{}, fmt.Errorf("gossip: %s: %w", to.Name, err)
 	}
-	_, err = t.udp.WriteTo(b, at)
+	n, err := t.udp.WriteTo(b, at)
+	t.sent.Add(int64(n))
 	return time.Now(), err
 }
 
@@ -151,7 +153,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return net.DialTimeout("tcp", addr, timeout)
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, &t.sent}, nil
+}
+
+// countedConn counts what is written.
+type countedConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	return n, err
 }
 
 // Shutdown is called by the library as it ends.
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -132,7 +132,7 @@
 	return Config{Seed: 1, Warmup: 2 * time.Second, Lateness: 10 * time.Millisecond,
 		Zones:    []string{"kurume-main", "yame-annex"},
 		Agents:   Agents{Count: 5, Command: "bin/molepaddle", Cores: 1, MemoryMB: 192, Sockets: 1024, Known: "now"},
-		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second, Agents: "all"},
+		Stewards: Stewards{Command: "bin/steward", LeaseTTL: 6 * time.Second, Agents: "all", Gossip: true, Evidence: true},
 		Duties:   Duties{TTL: 3 * time.Second, Workers: 3, Cap: 100, Command: "bin/lab", Clocks: []float64{1}},
 		Servers: Servers{Count: 12, Cell: 4, Kind: []Kind{
 			{Name: "fast-single", Share: 0.5, SpeedCV: 0.12, Noise: 0.2, Spec: defaultSpec(1.8), Conns: defaultConns(), Reports: defaultReports()},
@@ -247,7 +247,7 @@
 
 // Faults' kinds by what they are done to.
 var faultKinds = map[string][]string{
-	"servers":   {"kill", "vanish", "drain", "slow", "neighbour", "errors", "resets", "lost", "spoilt", "replace"},
+	"servers":   {"kill", "vanish", "drain", "slow", "neighbour", "errors", "resets", "lost", "spoilt", "replace", "mute"},
 	"agents":    {"kill", "stop", "restart", "hup"},
 	"stewards":  {"kill", "stop", "restart"},
 	"workers":   {"kill", "stop", "restart"},
@@ -434,6 +434,8 @@
 			return fmt.Errorf("%sclass: no class %q", at, f.Class)
 		case c.Stewards.Count > 0 && (sort == "discovery" || f.Kind == "hup" && c.Stewards.Agents != "all"):
 			return fmt.Errorf("%starget: with stewards the stand-in is not there", at)
+		case f.Kind == "mute" && c.Stewards.Count == 0:
+			return fmt.Errorf("%skind: mute is of renewals, and there are no stewards to hear any", at)
 		case sort == "load" && f.After != "":
 			return fmt.Errorf("%safter: arrivals are drawn ahead, so a change of the load needs a time", at)
 		case needsSize[f.Kind] && sort != "link" && f.Size == 0 || sort == "link" && (f.Kind == "slow" || f.Kind == "reset" || f.Kind == "loss") && f.Size == 0:
@@ -472,7 +474,7 @@
 var figures = []string{"served", "refused", "failed", "late", "p50_ms", "p99_ms", "attempts", "probes", "connections",
 	"list_calls", "crashes", "recovery_s", "worth", "worth_ratio", "doubled", "lab_cores", "spread_p50_ms", "spread_p99_ms",
 	"last_agent_p50_ms",
-	"last_agent_p99_ms", "duty_idle", "duty_gap_max_ms", "duty_terms"}
+	"last_agent_p99_ms", "duty_idle", "duty_gap_max_ms", "duty_terms", "agents_present"}
 
 func (c *Config) validateExpects() error {
 	for i := range c.Expect {
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -116,6 +116,7 @@
 	LastAgentP50Ms float64 `json:"last_agent_p50_ms"` // to the last agent, over the changes
 	LastAgentP99Ms float64 `json:"last_agent_p99_ms"`
 	Changes        int64   `json:"changes"`
+	AgentsPresent  int     `json:"agents_present"` // in the end, by the steward that knows least
 	DutyTerms      int     `json:"duty_terms"`
 	DutyRefused    int     `json:"duty_acts_refused"` // for their fence
 	DutyIdle       float64 `json:"duty_idle_share"`   // of the time between the first act and the last, in which nobody acted
@@ -285,6 +286,8 @@
 		return l.Total.LastAgentP50Ms
 	case "last_agent_p99_ms":
 		return l.Total.LastAgentP99Ms
+	case "agents_present":
+		return float64(l.Total.AgentsPresent)
 	case "duty_idle":
 		return l.Total.DutyIdle
 	case "duty_gap_max_ms":
--- a/internal/lab/experiment/timeline.go
+++ b/internal/lab/experiment/timeline.go
@@ -226,6 +226,15 @@
 				return nil
 			}
 			return again(s)
+		case "mute":
+			if l.list == nil {
+				return nil // nobody renews in a baseline's lane
+			}
+			l.list.hush(t, true)
+			l.last(ctx, f)
+			if f.For > 0 {
+				l.list.hush(t, false)
+			}
 		case "slow":
 			s.Slow(f.Size)
 			l.last(ctx, f)
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -26,7 +26,7 @@
 // Defaults are those for processes of one site.
 func Defaults(self Info) Config {
 	return Config{Self: self, Reach: 3 * time.Second, Grace: 2 * time.Second, Fail: time.Second, Share: 0.4,
-		Window: 5 * time.Second, Hold: 3 * time.Second, Keep: 12 * time.Second, Forget: 10 * time.Minute}
+		Window: 5 * time.Second, Hold: 3 * time.Second, Keep: 16 * time.Second, Forget: 10 * time.Minute}
 }
 
 // Tracker keeps what one process knows of the others. It is pure, and not safe for
@@ -76,11 +76,15 @@
 	Sight
 	at time.Duration // since when it has thought so, by this process's time
 	in time.Duration // when it came
+	// seq is of the report that it came with. News is passed on by many, and comes in any
+	// order: each word is held against the one before about the same member.
+	seq int64
 }
 
+// life is how far an observer's reports have come.
 type life struct {
-	incarnation, seq int64
-	life             string
+	incarnation, whole int64 // whole is the last that told all
+	life               string
 }
 
 // Change is a member whose state in the view is another.
@@ -332,8 +336,8 @@
 	return say >= 2 && 2*say > observers && (now >= s.due || say == observers)
 }
 
-// Report takes what another observer thinks. Not ok is one that counts for nothing.
-func (t *Tracker) Report(now time.Duration, r *Report) bool {
+// Report takes what another observer thinks, and tells whether any of it was new.
+func (t *Tracker) Report(now time.Duration, r *Report) (fresh bool) {
 	o := t.all[r.From]
 	if o == nil || o.info.Role != Steward {
 		t.counts.Strange++
@@ -341,17 +345,29 @@
 	}
 	l := t.lives[r.From]
 	switch {
-	case r.Incarnation < l.incarnation, r.Life == l.life && r.Seq <= l.seq,
+	case r.Incarnation < l.incarnation, r.Life == l.life && r.Seq <= l.whole,
 		// Lives that the catalog has not numbered are told apart only: what is whole comes from
 		// the observer itself, what is passed on may be of a life before.
-		r.Incarnation == l.incarnation && r.Life != l.life && !r.Whole:
+		r.Incarnation == l.incarnation && r.Life != l.life && l.life != "" && !r.Whole:
 		t.counts.Old++
 		return false
 	}
-	t.lives[r.From] = life{r.Incarnation, r.Seq, r.Life}
+	if r.Life != l.life {
+		l.whole = 0
+		for _, s := range t.all {
+			if o, ok := s.others[r.From]; ok { // its numbers begin anew
+				o.seq = 0
+				s.others[r.From] = o
+			}
+		}
+	}
+	if r.Whole {
+		l.whole = r.Seq
+	}
+	t.lives[r.From] = life{r.Incarnation, l.whole, r.Life}
 	if r.Whole {
 		for _, s := range t.all {
-			if _, ok := s.others[r.From]; ok && !slices.ContainsFunc(r.Sights, func(y Sight) bool { return y.Name == s.info.Name }) {
+			if o, ok := s.others[r.From]; ok && o.seq < r.Seq && !slices.ContainsFunc(r.Sights, func(y Sight) bool { return y.Name == s.info.Name }) {
 				delete(s.others, r.From)
 				t.version++
 			}
@@ -370,16 +386,14 @@
 			t.all[x.Name] = s
 		}
 		was, had := s.others[r.From]
-		if x.State == "" {
-			if delete(s.others, r.From); had {
-				t.version++
-			}
-			continue
+		if had && was.seq >= r.Seq {
+			continue // it came late
 		}
 		if !had || was.State != x.State || was.Incarnation != x.Incarnation {
 			t.version++
 		}
-		s.others[r.From] = told{x, now - time.Duration(x.ForMs)*time.Millisecond, now}
+		fresh = true
+		s.others[r.From] = told{x, now - time.Duration(x.ForMs)*time.Millisecond, now, r.Seq}
 		if x.Incarnation > s.info.Incarnation && !x.Role.Gossips() { // a later life, seen elsewhere
 			s.info.Incarnation = x.Incarnation
 		}
@@ -387,7 +401,7 @@
 			s.own = ""
 		}
 	}
-	return true
+	return fresh
 }
 
 // Tick lets time pass, and tells whose state in the view is another.
@@ -432,6 +446,11 @@
 			t.version++
 			continue
 		}
+		if st := t.combined(s); st == "" && s.shown == Present && !s.info.Role.Gossips() {
+			// Whoever saw it has ended: it has as long as a session that moves.
+			t.set(now, s, Suspect)
+			s.due = now + t.c.Grace
+		}
 		if st := t.combined(s); st != s.shown {
 			if st != "" {
 				changes = append(changes, Change{name, s.info.Role, s.shown, st})
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -55,7 +55,10 @@
 	if s.own != "" {
 		add(s.own, s.info.Incarnation)
 	}
-	for _, o := range s.others {
+	for from, o := range s.others {
+		if obs := t.all[from]; obs != nil && (obs.own == Failed || obs.own == Left) {
+			continue // what it last said is of before its end
+		}
 		add(o.State, o.Incarnation)
 	}
 	if all == 0 {
@@ -104,6 +107,9 @@
 		}
 		e := Entry{name, s.info.Role, s.info.Zone, s.info.Program, s.info.Speaks, s.info.Incarnation, st, []Opinion{}}
 		for from, o := range s.others {
+			if o.State == "" {
+				continue
+			}
 			e.Observers = append(e.Observers, Opinion{from, o.State, o.Incarnation, (now - o.at).Milliseconds()})
 		}
 		slices.SortFunc(e.Observers, func(a, b Opinion) int { return compareNames(a.Observer, b.Observer) })
