--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -213,9 +213,7 @@
 // Open is told of a session that began here: an agent's watch.
 func (t *Tracker) Open(now time.Duration, i Info) {
 	if s := t.get(now, i); s != nil {
-		if s.open++; s.open == 1 && s.own == Present {
-			s.since, s.said = now, "" // it has come back: later than what others saw of it meanwhile
-		}
+		s.open++
 		s.heard, s.due = now, 0
 		t.set(now, s, Present)
 	}
@@ -463,11 +461,16 @@
 	return changes
 }
 
-// elsewhere tells whether another observer sees a session's owner, and has only since this
-// one has: the older word may be of before it came here.
+// ended tells whether an observer is not there any more: what it last said is of before that.
+func (t *Tracker) ended(observer string) bool {
+	o := t.all[observer]
+	return o != nil && (o.own == Failed || o.own == Left)
+}
+
+// elsewhere tells whether another observer sees a session's owner.
 func (t *Tracker) elsewhere(s *subject) bool {
-	for _, o := range s.others {
-		if o.State == Present && o.Incarnation >= s.info.Incarnation && o.at > s.since {
+	for from, o := range s.others {
+		if !t.ended(from) && o.State == Present && o.Incarnation >= s.info.Incarnation {
 			return true
 		}
 	}
@@ -476,8 +479,8 @@
 
 // later tells whether another observer has seen it since it ended here.
 func (t *Tracker) later(s *subject) bool {
-	for _, o := range s.others {
-		if o.State == Present && (o.Incarnation > s.info.Incarnation || o.at > s.since) {
+	for from, o := range s.others {
+		if !t.ended(from) && o.State == Present && (o.Incarnation > s.info.Incarnation || o.at > s.since) {
 			return true
 		}
 	}
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -56,10 +56,9 @@
 		add(s.own, s.info.Incarnation)
 	}
 	for from, o := range s.others {
-		if obs := t.all[from]; obs != nil && (obs.own == Failed || obs.own == Left) {
-			continue // what it last said is of before its end
+		if !t.ended(from) {
+			add(o.State, o.Incarnation)
 		}
-		add(o.State, o.Incarnation)
 	}
 	if all == 0 {
 		return ""
