Play the end of half of many members at once, and count what gossip sends

Need: a mass of deaths was played by the pure machine only, and the bytes that a process sends were not measured. Change: TestHalfKilled starts 24 gossiping processes at once, one of the table never there, kills half of them with two of five observers, and starts them again; BenchmarkNotice reads what each sent in ten seconds at rest.

--- a/cmd/steward/notice_test.go
+++ b/cmd/steward/notice_test.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -50,12 +51,43 @@
 		log.Error("gossip", "err", err)
 		os.Exit(1)
 	}
-	<-ctx.Done()
-	c := n.Counts()
-	log.Info("counts", "sent", c.Sent, "wrongs", c.Wrongs, "suspects", c.Suspects, "held", c.Held)
+	ask := make(chan os.Signal, 1)
+	signal.Notify(ask, syscall.SIGHUP)
+	for ctx.Err() == nil {
+		select {
+		case <-ask:
+			log.Info("counts", "sent", n.Counts().Sent)
+		case <-ctx.Done():
+		}
+	}
 	n.Close()
 }
 
+var sent = regexp.MustCompile(`(?m)msg=counts sent=(\d+)$`)
+
+// bytes is what all of them have sent.
+func (t *troop) bytes() (sum int64) {
+	for _, name := range t.names {
+		p := t.procs[name]
+		before, _ := os.ReadFile(p.Log)
+		if err := p.Signal(syscall.SIGHUP); err != nil {
+			t.b.Fatal(err)
+		}
+		for end := time.Now().Add(soon); ; time.Sleep(time.Millisecond) {
+			text, _ := os.ReadFile(p.Log)
+			if m := sent.FindSubmatch(text[len(before):]); m != nil {
+				x, _ := strconv.ParseInt(string(m[1]), 10, 64)
+				sum += x
+				break
+			}
+			if time.Now().After(end) {
+				t.b.Fatalf("%s tells no counts", name)
+			}
+		}
+	}
+	return sum
+}
+
 // troop is processes that gossip, five of them observers.
 type troop struct {
 	b     testing.TB
@@ -173,8 +205,9 @@
 				}
 				return cpu
 			}
-			before := sum()
+			before, from, began := sum(), t.bytes(), time.Now()
 			time.Sleep(10 * time.Second)
+			b.ReportMetric(float64(t.bytes()-from)/float64(n)/time.Since(began).Seconds(), "bytes/s/process")
 			b.ReportMetric(float64(sum()-before)/float64(n)/float64(10*time.Second)*1000, "millicores/process")
 			kills := map[string]time.Time{}
 			type end struct {
@@ -270,3 +303,65 @@
 	b.ReportMetric(float64(stops), "pauses")
 	b.ReportMetric(0, "ns/op")
 }
+
+// states tells how an observer has the others, by the last that its log says.
+func (t *troop) states(observer string) map[string]member.State {
+	out := map[string]member.State{}
+	text, err := os.ReadFile(t.procs[observer].Log)
+	if err != nil {
+		t.b.Fatal(err)
+	}
+	for _, m := range noticed.FindAllSubmatch(text, -1) {
+		out[string(m[2])] = member.State(m[3])
+	}
+	return out
+}
+
+// Many start at once, one of the table never does; then half of them end at once: too many to
+// be believed by one alone, and believed by all that are left once they say the same.
+func TestHalfKilled(t *testing.T) {
+	const n = 24
+	tr := newTroop(t, n, 0)
+	dead := tr.names[n-1]
+	tr.procs[dead].Kill() // as soon as it was started
+	await := func(what string, who, whom []string, state member.State) {
+		t.Helper()
+		missing := ""
+		for end := time.Now().Add(soon); ; time.Sleep(100 * time.Millisecond) {
+			missing = ""
+			for _, o := range who {
+				states := tr.states(o)
+				for _, m := range whom {
+					if m != o && states[m] != state {
+						missing = fmt.Sprintf("%s has %s as %q", o, m, states[m])
+					}
+				}
+			}
+			if missing == "" {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: %s", what, missing)
+			}
+		}
+	}
+	await("all start", tr.names[:n-1], tr.names[:n-1], member.Present)
+	// Two of the five observers among them.
+	victims := append(append([]string{}, tr.names[:2]...), tr.names[12:n-1]...)
+	left := tr.names[2:12]
+	for _, name := range victims {
+		tr.procs[name].Kill()
+	}
+	await("half end", left, victims, member.Failed)
+	for o, by := range tr.when(member.Failed) {
+		for _, name := range left {
+			if len(by[name]) > 0 && slices.Contains(left, o) {
+				t.Errorf("%s had %s as failed, which is there", o, name)
+			}
+		}
+	}
+	for _, name := range victims {
+		tr.start(name)
+	}
+	await("all are back", left, victims, member.Present)
+}
