A steward speaks for its sessions until they have moved, and from its start on

Cause: TestAgentSessions failed in one of six runs beside other work: a steward that ended in order said that it left before it had sent its watches away, so agents that were still there were in doubt; and one that had just started spoke without its number, which others took for an earlier life, and did not say it again once it had one.

--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -80,7 +80,7 @@
 	c := NewClient(nil, pollWait+5*time.Second)
 	c.Table = n.addresses
 	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
-		Kinds: map[string]duty.Function{sweepDuty: n.doSweep(c), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: n.doVoters(c)}})
+		Kinds: map[string]duty.Function{sweepDuty: haveLeader(c, "/v1/sweep", sweepEvery), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: haveLeader(c, "/v1/voters", votersEvery)}})
 	go func() {
 		defer close(n.retired)
 		n.holder.Run(ctx)
@@ -118,12 +118,12 @@
 	}
 }
 
-// doSweep has the leader, who alone knows when each server was heard, end what has to end:
-// under this duty's fence.
-func (n *Node) doSweep(c *Client) duty.Function {
+// haveLeader has the leader do something again and again, under this duty's fence: only it
+// knows when each server was heard, and who votes.
+func haveLeader(c *Client, path string, every time.Duration) duty.Function {
 	return func(ctx context.Context, _ string, fence int64) error {
-		for pause(ctx, sweepEvery) {
-			err := c.do(ctx, http.MethodPost, "/v1/sweep", fenceBody{fence}, nil)
+		for pause(ctx, every) {
+			err := c.do(ctx, http.MethodPost, path, fenceBody{fence}, nil)
 			var refused *HTTPError
 			if errors.As(err, &refused) && refused.Status == http.StatusPreconditionFailed {
 				return nil // another has the duty
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -21,7 +21,6 @@
 	"github.com/hashicorp/raft"
 
 	"molepaddle/internal/catalog"
-	"molepaddle/internal/duty"
 	"molepaddle/internal/endpoints"
 	"molepaddle/internal/gossip"
 	"molepaddle/internal/member"
@@ -553,20 +552,6 @@
 	return f
 }
 
-// doVoters has the leader take one step after the other.
-func (n *Node) doVoters(c *Client) duty.Function {
-	return func(ctx context.Context, _ string, fence int64) error {
-		for pause(ctx, votersEvery) {
-			err := c.do(ctx, http.MethodPost, "/v1/voters", fenceBody{fence}, nil)
-			var refused *HTTPError
-			if errors.As(err, &refused) && refused.Status == http.StatusPreconditionFailed {
-				return nil // another has the duty
-			}
-		}
-		return nil
-	}
-}
-
 // stepVoters takes one step towards as many voters as are wanted, all of them alive.
 func (n *Node) stepVoters(w http.ResponseWriter, r *http.Request) error {
 	var b fenceBody
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -314,9 +314,6 @@
 // Close ends the steward: its duties are handed over first, then leadership, then its watches.
 func (n *Node) Close() {
 	n.leaveDuties()
-	if n.gossip != nil {
-		n.gossip.Leave()
-	}
 	if n.raft() != nil && n.raft().State() == raft.Leader && len(n.voters()) > 1 {
 		if err := n.raft().LeadershipTransfer().Error(); err != nil {
 			n.log.Warn("leadership was not handed over", "err", err)
@@ -325,6 +322,9 @@
 	if n.raft() != nil {
 		n.drain()
 	}
+	if n.gossip != nil { // after its sessions have moved, for which it speaks until then
+		n.gossip.Leave()
+	}
 	n.close()
 	n.log.Info("ended")
 }
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -52,6 +53,9 @@
 	Strange  int64 // reports by somebody who is no steward
 }
 
+// never is before all that can be.
+const never = time.Duration(math.MinInt64)
+
 type death struct {
 	at   time.Duration
 	name string
@@ -100,7 +104,14 @@
 }
 
 // Self changes what this process says of itself.
-func (t *Tracker) Self(i Info) { t.c.Self = i }
+func (t *Tracker) Self(i Info) {
+	if i.Incarnation != t.c.Self.Incarnation {
+		for _, s := range t.all {
+			s.said = "" // what was said without the number may not have counted
+		}
+	}
+	t.c.Self = i
+}
 
 // Counts tells what was counted.
 func (t *Tracker) Counts() Counts { return t.counts }
@@ -342,11 +353,15 @@
 		return false
 	}
 	l := t.lives[r.From]
+	number := r.Incarnation
+	if number == 0 { // it has just started, and has none yet
+		number = l.incarnation
+	}
 	switch {
-	case r.Incarnation < l.incarnation, r.Life == l.life && r.Seq <= l.whole,
+	case number < l.incarnation, r.Life == l.life && r.Seq <= l.whole,
 		// Lives that the catalog has not numbered are told apart only: what is whole comes from
 		// the observer itself, what is passed on may be of a life before.
-		r.Incarnation == l.incarnation && r.Life != l.life && l.life != "" && !r.Whole:
+		number == l.incarnation && r.Life != l.life && l.life != "" && !r.Whole:
 		t.counts.Old++
 		return false
 	}
@@ -362,7 +377,7 @@
 	if r.Whole {
 		l.whole = r.Seq
 	}
-	t.lives[r.From] = life{r.Incarnation, l.whole, r.Life}
+	t.lives[r.From] = life{number, l.whole, r.Life}
 	if r.Whole {
 		for _, s := range t.all {
 			if o, ok := s.others[r.From]; ok && o.seq < r.Seq && !slices.ContainsFunc(r.Sights, func(y Sight) bool { return y.Name == s.info.Name }) {
@@ -418,7 +433,7 @@
 			switch s.own {
 			case Present:
 				// Whoever is seen elsewhere has moved: this process has no opinion of it any more.
-				if t.elsewhere(s) {
+				if t.elsewhere(s, never) {
 					s.own, s.due = "", 0
 					t.version++
 					break
@@ -426,7 +441,7 @@
 				t.set(now, s, Suspect)
 				s.due = now + t.c.Fail
 			case Suspect:
-				if t.elsewhere(s) {
+				if t.elsewhere(s, never) {
 					s.own, s.due = "", 0
 					t.version++
 					break
@@ -434,7 +449,7 @@
 				t.set(now, s, Failed)
 				s.due = 0
 			}
-		case s.open == 0 && (s.own == Suspect || s.own == Failed || s.own == Left) && t.later(s):
+		case s.open == 0 && (s.own == Suspect || s.own == Failed || s.own == Left) && t.elsewhere(s, s.since): // seen since it ended here
 			s.own, s.due = "", 0
 			t.version++
 		}
@@ -445,9 +460,9 @@
 			continue
 		}
 		if st := t.combined(s); st == "" && s.shown == Present && !s.info.Role.Gossips() {
-			// Whoever saw it has ended: it has as long as a session that moves.
+			// Whoever saw it has ended: it has as long as a session that moves, and longer.
 			t.set(now, s, Suspect)
-			s.due = now + t.c.Grace
+			s.due = now + t.c.Grace + t.c.Fail
 		}
 		if st := t.combined(s); st != s.shown {
 			if st != "" {
@@ -467,20 +482,10 @@
 	return o != nil && (o.own == Failed || o.own == Left)
 }
 
-// elsewhere tells whether another observer sees a session's owner.
-func (t *Tracker) elsewhere(s *subject) bool {
-	for from, o := range s.others {
-		if !t.ended(from) && o.State == Present && o.Incarnation >= s.info.Incarnation {
-			return true
-		}
-	}
-	return false
-}
-
-// later tells whether another observer has seen it since it ended here.
-func (t *Tracker) later(s *subject) bool {
+// elsewhere tells whether another observer sees a session's owner, and began to after a time.
+func (t *Tracker) elsewhere(s *subject, after time.Duration) bool {
 	for from, o := range s.others {
-		if !t.ended(from) && o.State == Present && (o.Incarnation > s.info.Incarnation || o.at > s.since) {
+		if !t.ended(from) && o.State == Present && (o.Incarnation > s.info.Incarnation || o.Incarnation == s.info.Incarnation && o.at > after) {
 			return true
 		}
 	}
