Take in a steward that lost its folder while gossip is on; bound questions and renewals

Cause: found by reading the change again. With gossip on, a steward that came back at once with an empty folder was refused for good: others kept the folder of its earlier life, as a life without a number counted for nothing. Renewals were read before they were admitted, questions about servers had no bound, a refused name was logged each time, and TestDutyHandedOver looked for refused acts before the old holder could have acted, so a holder without a clock passed. Change: gossip's latest word of a member tells its folder also without a number; a name counts as another's after 10 s; renewals are heard behind admission; four questions are looked into at once, the rest get 503; the log line is bounded; the test waits until the next holder has acted for 0.3 s. 'lab mutants' shows the last lines that a test said, not the first.

--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -260,6 +260,8 @@
 		}
 		a := c.acted("work.a", not, max(monotonic(), began))
 		t.Logf("%s: %s, then %s under %d after %v", round.what, w, a.Process, a.Fence, (a.Mono - began).Round(time.Millisecond))
+		// The one before has time to act, if it still would.
+		c.acted("work.a", not, a.Mono+300*time.Millisecond)
 		// Only one that stood still may have acted too late, once: what runs stops by its own clock.
 		if n := c.acts.Judge().Refused - refused; n > 0 && !strings.HasPrefix(round.what, "stopped") {
 			t.Errorf("%s: %d acts were refused by their fence: it went on beyond its time", round.what, n)
--- a/cmd/steward/members_test.go
+++ b/cmd/steward/members_test.go
@@ -169,6 +169,19 @@
 			w.end()
 			w.never(t, member.Failed, f.names...)
 		},
+		"killed, its folder gone, and back at once": func(t *testing.T, f *fleet, h *herd, w *watchful) {
+			name := f.others(f.leader())[0]
+			f.kill(name)
+			if err := os.RemoveAll(f.data(name)); err != nil {
+				t.Fatal(err)
+			}
+			f.start(name)
+			f.until("it votes again", func() bool {
+				st, err := f.status(name)
+				lead, lerr := f.status(f.leader())
+				return err == nil && lerr == nil && st.Applied > 0 && len(lead.Voters) == 5
+			})
+		},
 		"killed, and back before it was missed": func(t *testing.T, f *fleet, h *herd, w *watchful) {
 			name := f.others(f.leader())[0]
 			at := f.others(name)[0]
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -41,7 +41,7 @@
 	mux.HandleFunc("PATCH /v1/servers/{name}", n.leaderWrites(n.set))
 	mux.HandleFunc("DELETE /v1/servers/{name}", n.leaderWrites(n.ends(catalog.Leave)))
 	mux.HandleFunc("POST /v1/servers/{name}/drain", n.leaderWrites(n.ends(catalog.Drain)))
-	mux.HandleFunc("POST /v1/renewals", n.heardRenewals(n.leaderWrites(n.renewals)))
+	mux.HandleFunc("POST /v1/renewals", n.leaderWritesAfter(n.heardRenewals, n.renewals))
 	mux.HandleFunc("POST /v1/guard/confirm", n.leaderWrites(n.confirm))
 	mux.HandleFunc("POST /v1/seen", n.leaderWrites(n.seen))
 	mux.HandleFunc("PUT /v1/snapshot", n.leaderWrites(n.restore))
@@ -230,12 +230,21 @@
 
 // leaderWrites has the leader carry out a write, wherever it came in.
 func (n *Node) leaderWrites(do func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
+	return n.leaderWritesAfter(func(http.ResponseWriter, *http.Request) error { return nil }, do)
+}
+
+// leaderWritesAfter does something with an admitted write here, before the leader carries it out.
+func (n *Node) leaderWritesAfter(here, do func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ok, back := n.calls.write(w)
 		if !ok {
 			return
 		}
 		defer back()
+		if err := here(w, r); err != nil {
+			refuse(w, err)
+			return
+		}
 		if _, leads := n.elapsed(); !leads {
 			n.pass(w, r)
 			return
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -34,7 +34,12 @@
 	probeMany    = 16
 	verdictLasts = 3 * time.Second
 	maxEvidence  = 256 // servers of one question
-	votersEvery  = time.Second
+	// mostQuestions bounds the questions that are looked into at once: one leader asks one.
+	mostQuestions = 4
+	// nameWait is how long a name may seem to be another's: one that has lost its folder and is
+	// back at once has to be heard by the others before they know that it is not.
+	nameWait    = 10 * time.Second
+	votersEvery = time.Second
 )
 
 // Program is the version of this build.
@@ -118,6 +123,7 @@
 	c.Table = n.addresses
 	t := time.NewTicker(arriveAgain)
 	defer t.Stop()
+	var since time.Time // the name has seemed to be another's
 	for {
 		var mine catalog.Member
 		n.fsm.read(func(s *catalog.State) {
@@ -142,7 +148,13 @@
 			var r catalog.Result
 			err := c.do(n.ctx, http.MethodPost, endpoints.MembersPath+"/"+n.c.Name+"/arrival", arrivalBody{n.id, n.life}, &r)
 			var refused *HTTPError
-			if errors.As(err, &refused) && refused.Status == http.StatusConflict {
+			taken := errors.As(err, &refused) && refused.Status == http.StatusConflict
+			switch {
+			case !taken:
+				since = time.Time{}
+			case since.IsZero():
+				since = time.Now()
+			case time.Since(since) > nameWait:
 				n.fail(fmt.Errorf("name: %w", err))
 				return
 			}
@@ -167,7 +179,9 @@
 // another refuses what a process asks in a name that another one has, which is there.
 func (n *Node) another(name, id string) error {
 	if has, is := n.present(name); is && id != "" && has != "" && has != id {
-		n.log.Error("a second process came with the name of one that is there", "name", name)
+		if n.quiet.Allow() {
+			n.log.Error("a second process came with the name of one that is there", "name", name)
+		}
 		return &refusal{catalog.Result{Code: catalog.Taken, Text: fmt.Sprintf("another process is called %s, and is there", name)}}
 	}
 	return nil
@@ -231,24 +245,20 @@
 }
 
 // heardRenewals notes which servers were heard here, on the way to the leader.
-func (n *Node) heardRenewals(next http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		if n.gossip == nil {
-			next(w, r)
-			return
-		}
-		text, err := readBody(w, r)
-		if err != nil {
-			refuse(w, err)
-			return
-		}
-		r.Body = io.NopCloser(bytes.NewReader(text))
-		var b Renewals
-		if r.Header.Get(forwarded) == "" && json.Unmarshal(text, &b) == nil && len(b.Refs) <= maxRefs {
-			n.hear(b.Refs)
-		}
-		next(w, r)
+func (n *Node) heardRenewals(w http.ResponseWriter, r *http.Request) error {
+	if n.gossip == nil {
+		return nil
+	}
+	text, err := readBody(w, r)
+	if err != nil {
+		return err
 	}
+	r.Body = io.NopCloser(bytes.NewReader(text))
+	var b Renewals
+	if r.Header.Get(forwarded) == "" && json.Unmarshal(text, &b) == nil && len(b.Refs) <= maxRefs {
+		n.hear(b.Refs)
+	}
+	return nil
 }
 
 // hear notes servers that the catalog knows by name and birth.
@@ -286,6 +296,12 @@
 		refuse(w, bad("refs: %d of at most %d", len(b.Refs), maxEvidence))
 		return
 	}
+	if n.testifying.Add(1) > mostQuestions {
+		n.testifying.Add(-1)
+		n.calls.refuse(w, evidenceWait) // who asked counts this one as silent
+		return
+	}
+	defer n.testifying.Add(-1)
 	answer(w, Evidence{From: n.c.Name, Answers: n.testify(r.Context(), b.Refs)})
 }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -63,12 +63,13 @@
 	base     time.Duration // the state's clock when it began to lead
 	ledSince time.Time
 
-	id, life string // of the folder, and of this start
-	gossip   *gossip.Node
-	judged   verdicts
-	probes   *http.Client  // to servers
-	quiet    *rate.Limiter // for lines that one fault could repeat
-	failed   failures
+	id, life   string // of the folder, and of this start
+	gossip     *gossip.Node
+	judged     verdicts
+	testifying atomic.Int64  // questions about servers that are being looked into
+	probes     *http.Client  // to servers
+	quiet      *rate.Limiter // for lines that one fault could repeat
+	failed     failures
 
 	reads    barriers
 	proofs   barriers // that it leads
@@ -232,7 +233,7 @@
 				case err == nil:
 					n.log.Info("rejoining with an empty folder", "told_by", name)
 					return false, true, nil
-				case errors.As(err, &refused) && refused.Status == http.StatusConflict:
+				case errors.As(err, &refused) && refused.Status == http.StatusConflict && time.Since(n.began) > nameWait:
 					return false, false, fmt.Errorf("name: %w", err)
 				}
 			default:
--- a/internal/lab/mutant/mutant.go
+++ b/internal/lab/mutant/mutant.go
@@ -187,18 +187,19 @@
 	return v, nil
 }
 
-// reason is the line that says what a test found.
+// reason is the last lines that say what a test found; the ends of processes' logs are not.
 func reason(said string) string {
+	var lines []string
+	for line := range strings.Lines(said) {
+		if line = strings.TrimSpace(line); (strings.Contains(line, "_test.go:") || strings.HasPrefix(line, "panic:")) && !strings.HasSuffix(line, ":") {
+			lines = append(lines, line[:min(len(line), 200)])
+		}
+	}
 	name := ""
 	if all := failed.FindAllStringSubmatch(said, -1); len(all) > 0 {
 		name = all[len(all)-1][1]
 	}
-	for line := range strings.Lines(said) {
-		if line = strings.TrimSpace(line); strings.Contains(line, "_test.go:") || strings.HasPrefix(line, "panic:") {
-			return strings.TrimSpace(name + " " + line[:min(len(line), 200)])
-		}
-	}
-	return name
+	return strings.TrimSpace(name + " " + strings.Join(lines[max(len(lines)-2, 0):], " | "))
 }
 
 func firstLines(text string, n int) string {
--- a/internal/member/tracker.go
+++ b/internal/member/tracker.go
@@ -160,6 +160,11 @@
 
 // Alive is told by gossip that a member is there, or says something new of itself.
 func (t *Tracker) Alive(now time.Duration, i Info) {
+	if s := t.all[i.Name]; s != nil && i.Incarnation == 0 {
+		// It has started again and has no number yet. Gossip keeps its lives in order itself, so
+		// this is the latest, and whose folder it runs over is known from now on.
+		i.Incarnation = s.info.Incarnation
+	}
 	if s := t.get(now, i); s != nil {
 		s.dead, s.due = false, 0
 		if s.heard == 0 {
--- a/internal/member/tracker_test.go
+++ b/internal/member/tracker_test.go
@@ -127,6 +127,19 @@
 				1 * s: func(t *Tracker, now time.Duration) { i := steward("b", 1); i.Leaving = true; t.Alive(now, i) },
 				2 * s: func(t *Tracker, now time.Duration) { t.Dead(now, "b") }},
 			[]want{{1 * s, "b", Present}, {2 * s, "b", Left}}},
+		"started again and without a number, it is there": {
+			map[time.Duration]func(*Tracker, time.Duration){
+				1 * s: func(t *Tracker, now time.Duration) { t.Dead(now, "b") },
+				3 * s: func(t *Tracker, now time.Duration) {
+					i := steward("b", 0)
+					i.ID = "another folder"
+					t.Alive(now, i)
+					t.Reached(now, "b")
+					if id, is := t.Folder("b"); !is || id != i.ID {
+						panic("its folder is " + id)
+					}
+				}},
+			[]want{{2 * s, "b", Failed}, {3 * s, "b", Present}}},
 		"without a number it is joining": {
 			map[time.Duration]func(*Tracker, time.Duration){
 				1 * s: func(t *Tracker, now time.Duration) { t.Alive(now, steward("f", 0)) },
