Hear of pushed lists, of indented ones, and of any change within 6 s of its reach

Ruled out: lists that come late, as no watch was in discovery's log of any agent.

Change: the loop has pushed lists watched; a watch gathers the lines of an object and counts whole objects as life; calls that fail are begun again within 4 s of their own begin, whatever the number of agents, and at discovery's new address as if none had failed; an empty list is asked for within a second.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -73,6 +73,13 @@
 	open     int
 }
 
+// The ways in which the settings have lists come, and the time to ask within where they
+// give none, in ms.
+const (
+	pushed, onRequest = "pushed", "on_request"
+	askWithin         = 10000
+)
+
 // answer is the final answer to a request.
 type answer struct {
 	status     policy.Status // OK: served; Full: refused; Error: failed
@@ -115,6 +122,14 @@
 	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
 		set.Limits.OpenCap = most
 	}
+	if set.Membership == pushed {
+		// Over HTTP what is pushed comes on a watch as well, and one that breaks has to be
+		// opened anew: to the module the list is one that it asks for.
+		set.Membership = onRequest
+		if set.Contract.AskWithinMs <= 0 {
+			set.Contract.AskWithinMs = askWithin
+		}
+	}
 	bal, err := policy.New(set, c.Seed)
 	if err != nil {
 		return nil, err
@@ -282,7 +297,9 @@
 			go l.disc.fetch(l.discCtx, l.seq)
 		}
 	}
-	if l.set.Membership == "on_request" && !l.watching {
+	// Nothing failed there yet: calls that fail from now on are repeated as the first ones.
+	l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListDelta})
+	if !l.watching {
 		l.watching = true
 		go l.disc.watch(l.discCtx, l.seq)
 	}
--- /dev/null
+++ b/internal/agent/told_test.go
@@ -0,0 +1,103 @@
+package agent
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// lists is a discovery that notes what it is asked and leaves the rest to serve.
+func lists(t *testing.T, serve http.HandlerFunc) (addr string, asked chan string) {
+	asked = make(chan string, 100)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RawQuery
+		serve(w, r)
+	}))
+	t.Cleanup(s.Close)
+	t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String(), asked
+}
+
+// open writes a whole list and keeps the watch open.
+func open(seq int, hosts ...any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		text, _ := json.MarshalIndent(map[string]any{"seq": seq, "whole": true, "hosts": hosts}, "", "  ")
+		fmt.Fprintln(w, string(text))
+		if r.URL.RawQuery != "" {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}
+}
+
+// Over HTTP a list that is pushed comes on a watch too: without one the agent would never
+// hear of a drain.
+func TestPushedListIsWatched(t *testing.T) {
+	old, _ := counted(t, 200, false)
+	good, came := counted(t, 200, false)
+	disco, asked := lists(t, open(2, host(0, old, "draining"), host(1, good, "ready")))
+	conf := config(disco, old)
+	conf["settings"].(map[string]any)["contract"].(map[string]any)["askWithinMs"] = 0
+	_, base, _, _ := start(t, conf)
+	select {
+	case q := <-asked:
+		if q != "follow=1&since=1" {
+			t.Fatalf("asked %q", q)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("not asked")
+	}
+	for end := time.Now().Add(20 * time.Second); len(came) == 0; { // until the list is taken
+		if do(t, call(base, "order")); time.Now().After(end) {
+			t.Fatal("never told of the drain")
+		}
+	}
+	for range 5 {
+		if status, _, _ := do(t, call(base, "order")); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if len(came) != 6 {
+		t.Fatalf("%d of 6 requests reached the one that stays", len(came))
+	}
+}
+
+// A new address of discovery is asked at once, and again soon where that fails, however
+// long the waits had become at the one before.
+func TestMovedDiscoveryIsAskedSoon(t *testing.T) {
+	conf := config(nowhere, "127.0.0.1:1")
+	conf["settings"].(map[string]any)["membershipMode"] = "on_request"
+	l := quietLoopOf(t, conf)
+	const followToken = 2
+	waits := func() (ms float64) {
+		for _, act := range l.actions {
+			if act.Token == followToken && act.Ms > 0 {
+				ms = act.Ms
+			}
+		}
+		return ms
+	}
+	fail := func() float64 {
+		l.handle(input{kind: inTimer, token: followToken})
+		l.handle(input{kind: inWatchEnded, from: l.disc, err: errSurplus})
+		return waits()
+	}
+	for range 6 {
+		fail()
+	}
+	if before := fail(); before < 1200 {
+		t.Fatalf("asks again after %.0f ms though many calls failed", before)
+	}
+	l.handle(input{kind: inTimer, token: followToken})
+	l.handle(input{kind: inMoved, addrs: []string{"127.0.0.1:2"}})
+	if !l.watching {
+		t.Fatal("the new address is not asked")
+	}
+	l.handle(input{kind: inWatchEnded, from: l.disc, err: errSurplus})
+	if after := waits(); after <= 0 || after > 1000 {
+		t.Fatalf("asks the new address again after %.0f ms", after)
+	}
+}
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -64,6 +64,7 @@
 
 var (
 	errSilent = errors.New("silent for too long")
+	errLong   = fmt.Errorf("a list of over %d bytes", maxList)
 	errOlder  = errors.New("older than the list at hand")
 	errBehind = errors.New("behind, or without a list of now")
 	errLeft   = errors.New("no longer one of the addresses")
@@ -163,22 +164,28 @@
 	defer body.Close()
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), maxList)
+	var o object
 	for lines.Scan() {
-		alive()
-		text := bytes.TrimSpace(lines.Bytes())
-		if len(text) == 0 {
-			continue
-		}
-		l, err := Parse(text)
+		whole, err := o.add(lines.Bytes())
 		if err != nil {
 			return fmt.Errorf("line: %w", err)
 		}
-		if c.c.NeverOlder && l.Seq < *since {
-			return errOlder
+		if whole {
+			l, err := Parse(o.text)
+			if err != nil {
+				return fmt.Errorf("line: %w", err)
+			}
+			o.reset()
+			if c.c.NeverOlder && l.Seq < *since {
+				return errOlder
+			}
+			*since = l.Seq
+			c.served(addr)
+			heard(l)
+		}
+		if len(o.text) == 0 {
+			alive() // a list that comes line by line and never ends is no sign of life
 		}
-		*since = l.Seq
-		c.served(addr)
-		heard(l)
 	}
 	if err := lines.Err(); err != nil {
 		return err
@@ -186,6 +193,40 @@
 	return errEnded
 }
 
+// object gathers the lines of one JSON object, which may be written indented.
+type object struct {
+	text   []byte
+	depth  int  // of braces and brackets
+	quoted bool // in a string
+}
+
+// add takes the next line and tells whether the object is whole with it. An empty line
+// between objects is none.
+func (o *object) add(line []byte) (whole bool, err error) {
+	line = bytes.TrimSpace(line)
+	if len(o.text)+len(line) > maxList {
+		return false, errLong
+	}
+	o.text = append(o.text, line...)
+	for i := 0; i < len(line); i++ {
+		switch b := line[i]; {
+		case o.quoted && b == '\\':
+			i++
+		case b == '"':
+			o.quoted = !o.quoted
+		case o.quoted:
+		case b == '{' || b == '[':
+			o.depth++
+		case b == '}' || b == ']':
+			o.depth--
+		}
+	}
+	// What is no object at all is for the parser to refuse.
+	return len(line) > 0 && (o.depth <= 0 || o.text[0] != '{' || o.quoted), nil
+}
+
+func (o *object) reset() { *o = object{text: o.text[:0]} }
+
 // Leave tells the service that the reader ends as planned, at one address.
 func (c *Client) Leave(ctx context.Context) error {
 	if c.c.Member == "" {
--- a/internal/endpoints/client_test.go
+++ b/internal/endpoints/client_test.go
@@ -262,3 +262,81 @@
 		}
 	})
 }
+
+// written is a service whose watch writes texts with waits between, and then is silent.
+type written struct {
+	texts []string
+	wait  time.Duration
+}
+
+func (w written) RoundTrip(r *http.Request) (*http.Response, error) {
+	out, in := io.Pipe()
+	go func() {
+		for _, text := range w.texts {
+			if _, err := io.WriteString(in, text); err != nil {
+				return
+			}
+			select {
+			case <-time.After(w.wait):
+			case <-r.Context().Done():
+			}
+		}
+	}()
+	context.AfterFunc(r.Context(), func() { in.CloseWithError(r.Context().Err()) })
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: out, Request: r}, nil
+}
+
+// What a watch writes may be indented, with what looks like an end inside a string, and is
+// a list once it is whole; bytes that never make one are no sign of life, however they come.
+func TestWatchedText(t *testing.T) {
+	const indented = "{\n  \"seq\": 6,\n  \"whole\": false,\n  \"hosts\": [\n    {\"host\": \"a}\\\"]\",\n" +
+		"     \"dial\": \"127.0.0.1:9\", \"health\": \"draining\"}\n  ]\n}\n"
+	endless := []string{"{\"seq\": 7, \"hosts\": [\n"}
+	letters := []string{}
+	for range 100 {
+		endless = append(endless, "\n", "   \n")
+		letters = append(letters, " ")
+	}
+	for name, c := range map[string]struct {
+		texts  []string
+		heard  int
+		lasted time.Duration // from the begin to the end by silence
+	}{
+		"indented":              {[]string{indented, "\n", indented}, 2, 2*time.Second + Silence},
+		"indented, in pieces":   {strings.SplitAfter(indented, "]"), 1, 2*time.Second + Silence},
+		"silent from the start": {nil, 0, Silence},
+		"silent within a line":  {[]string{"\n", indented[:20]}, 0, Silence},
+		"an object without end": {endless, 0, Silence},
+		"a line without end":    {letters, 0, Silence},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := NewClient(ClientConfig{Addresses: names(1), Transport: written{c.texts, time.Second}})
+				heard, began := 0, time.Now()
+				err := cl.Watch(t.Context(), 5, func(l List) {
+					if heard++; l.Seq != 6 || len(l.Hosts) != 1 || l.Hosts[0].Host != "a}\"]" {
+						t.Errorf("heard %+v", l)
+					}
+				})
+				lasted := time.Since(began)
+				synctest.Wait()
+				if !errors.Is(err, errSilent) || heard != c.heard || lasted != c.lasted {
+					t.Errorf("heard %d lists, ended after %v: %v", heard, lasted, err)
+				}
+			})
+		})
+	}
+}
+
+// A line that is no list ends the watch, also where its brackets never match.
+func TestWatchedNonsense(t *testing.T) {
+	for _, text := range []string{"}\n", "x\n", "[1]\n", "{\"seq\":\"\n", "{}}\n", "{\"a\":[}]}\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			cl := NewClient(ClientConfig{Addresses: names(1), Transport: written{[]string{text}, 0}})
+			err := cl.Watch(t.Context(), 5, func(l List) { t.Errorf("%q: heard %+v", text, l) })
+			if err == nil || errors.Is(err, errSilent) {
+				t.Errorf("%q ended with %v", text, err)
+			}
+		})
+	}
+}
--- a/internal/lab/mutant/mutant.go
+++ b/internal/lab/mutant/mutant.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -166,6 +167,11 @@
 	if said, err := build.CombinedOutput(); err != nil {
 		return v, fmt.Errorf("%s: does not build: %s", m.Name, firstLines(string(said), 3))
 	}
+	// What a property test leaves of a mutant's failure is no case of the program's own.
+	leavings := filepath.Join(root, m.Package, "testdata", "rapid")
+	if _, err := os.Stat(leavings); errors.Is(err, fs.ErrNotExist) {
+		defer os.RemoveAll(leavings)
+	}
 	ctx, cancel := context.WithTimeout(ctx, m.Within+time.Minute)
 	defer cancel()
 	test := exec.CommandContext(ctx, binary, "-test.run", m.Test, "-test.failfast", "-test.v", "-test.timeout", m.Within.String())
--- a/policy/list.go
+++ b/policy/list.go
@@ -15,22 +15,58 @@
 // served any more.
 const fewAgents = 20.0
 
+const (
+	// askAgain is the most from the begin of a call that failed to that of the next, in ms,
+	// for any number of agents: whatever failed before, what discovery has to tell counts as
+	// told 6 s after it could be reached, and the call has to wait its turn there, too.
+	askAgain = 4000.0
+	// leastWait keeps some time between calls that take long to fail.
+	leastWait = 200.0
+	// firstWithin bounds the time until a new process asks for the first time: its list may
+	// be old, and emptyWithin where it knows no server at all.
+	firstWithin, emptyWithin = 3500.0, 250.0
+)
+
 // askers is how many times as many agents there are as may ask often.
 func (b *Balancer) askers() float64 { return max(float64(b.set.Replicas)/fewAgents, 1) }
 
-// followIn lets the subscription be asked for at a random time in the second half of a
-// wait, or at any in the whole of it. There is one such time, however many calls fail.
-func (b *Balancer) followIn(wait, least float64) {
+// followIn lets the subscription be asked for after a wait. There is one such time, however
+// many calls fail.
+func (b *Balancer) followIn(wait float64) {
 	if !b.following {
 		b.following = true
-		b.do(Action{Kind: ActTimer, Ms: wait * (least + (1-least)*b.rng.Float64()), Token: followToken})
+		b.do(Action{Kind: ActTimer, Ms: wait, Token: followToken})
+	}
+}
+
+// follow asks for the subscription when its time has come.
+func (b *Balancer) follow() {
+	if b.following {
+		b.following, b.followed, b.followAt = false, false, b.now
+		b.do(Action{Kind: ActFollow})
 	}
 }
 
 // firstFollow spreads the first calls over a part of the contract's time: agents that
 // start together must not all call at once.
 func (b *Balancer) firstFollow() {
-	b.followIn(b.set.Contract.AskWithinMs/8*min(b.askers(), 4), 0)
+	b.followIn(b.rng.Float64() * min(b.set.Contract.AskWithinMs/8*min(b.askers(), 4), firstWithin))
+}
+
+// followAgain sets the time for the next call after one failed, or a subscription ended.
+// A call that was given up late is repeated the sooner.
+func (b *Balancer) followAgain() {
+	b.follows++
+	ask, u := b.set.Contract.AskWithinMs/5, b.rng.Float64()
+	wait := min(1000, ask) * (1 + u) / 2
+	if b.follows > 1 { // the first may have been the agent's own bad luck
+		ask *= min(b.askers(), 5)
+		wait = min(500*math.Pow(2, float64(b.follows))*b.askers(), ask, askAgain) * (3 + u) / 4
+	}
+	if !b.followed {
+		wait = min(wait, askAgain*(3+u)/4-(b.now-b.followAt))
+	}
+	b.followIn(max(wait, leastWait*(1+u)))
 }
 
 // refetch asks for the whole list, seldom: every call loads discovery, by the line. Where
@@ -48,17 +84,16 @@
 
 func (b *Balancer) onList(ev *Event) {
 	if ev.List == ListFailed {
-		b.follows++
 		if b.set.Membership == "on_request" {
-			wait, most := 500*math.Pow(2, float64(b.follows)), b.set.Contract.AskWithinMs/5
-			if b.follows > 1 { // one call that failed may have been the agent's own bad luck
-				wait, most = wait*b.askers(), most*min(b.askers(), 5)
-			}
-			b.followIn(min(wait, most), 0.5)
+			b.followAgain()
 		}
 		return
 	}
-	b.follows = 0
+	if ev.List == ListCached && len(ev.Entries) == 0 && b.following {
+		b.following = false // the time that is set will find nothing to do
+		b.followIn(b.rng.Float64() * emptyWithin * min(b.askers(), 4))
+	}
+	b.follows, b.followed = 0, true
 	b.epoch++
 	if b.zones == 0 {
 		zones := map[int]bool{}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -141,8 +141,7 @@
 func (b *Balancer) onTimer(token uint32) {
 	switch token {
 	case followToken:
-		b.following = false
-		b.do(Action{Kind: ActFollow})
+		b.follow()
 	case tickToken:
 		b.ticking = false
 		b.watchSilence()
