Leave clients that went out of the throttle's account

Ruled out: the servers' windows and states, which were untouched.

Change: an attempt that never began for want of a client, or that was taken back because its client left before its answer was late, counts neither way. One that is taken back late still counts.

Measured: the test fails without it (mutant seen); policy's tests pass.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -572,8 +572,12 @@
 	} else if ev.Status == OK {
 		worth = b.set.Classes[r.class].LateShare
 	}
-	old := math.Exp((b.triedAt - b.now) / (trySpan * b.aimMin))
-	b.failing, b.triedAt = b.failing*old+1-tryFactor*worth, b.now
+	b.failing, b.triedAt = b.failing*math.Exp((b.triedAt-b.now)/(trySpan*b.aimMin)), b.now
+	// What never began for want of a client, or whose client left in good time, tells nothing
+	// of the servers: clients that leave in a burst must not close the throttle for the others.
+	if left := r.closed && ev.Status == Cancelled && b.now < r.aimAt; ev.Status != Moot && !left {
+		b.failing += 1 - tryFactor*worth
+	}
 	b.judge(a, ev.Status, finite(ev.LatencyMs))
 	if r.closed || r.started || ev.Final || ev.Status == OK {
 		b.close(r)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1048,6 +1048,45 @@
 	}
 }
 
+// Clients that leave before their answers are late say nothing of the servers: the throttle
+// stays open for those that stay. Where they leave because it is late, that counts.
+func TestClientsThatLeaveDoNotThrottleTheAgent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status Status
+		after  float64 // the share of the aim that has passed
+		open   bool
+	}{
+		{"never begun", Moot, 0.1, true},
+		{"taken back in time", Cancelled, 0.5, true},
+		{"taken back late", Cancelled, 1.1, false},
+		{"timed out", Timeout, 0.5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Limits.Cancelling = true
+			r := newRig(t, set, 10)
+			type sent struct {
+				id RequestID
+				to Addr
+			}
+			var all []sent
+			for range 8 {
+				id, to := r.sent(0, 0)
+				all = append(all, sent{id, to})
+			}
+			r.now += c.after * set.Classes[0].AimMs
+			for _, s := range all {
+				r.do(Event{Kind: EvDropped, Request: s.id})
+				r.outcome(s.id, 0, s.to, c.status, 1)
+			}
+			if r.b.mayTry() != c.open {
+				t.Fatalf("failing %.1f", r.b.failing)
+			}
+		})
+	}
+}
+
 // i5db14f: a thousand agents that each met every server kept 400 connections a server
 // open. They are closed where their price is above that of opening them again.
 func TestIdleConnectionsAreClosedWhereTheyCostMore(t *testing.T) {
