Own clients' connections: settle what crosses a close, see clients go, give way

Seen, each in a test on sockets with the crossing forced: - with a byte of a next request behind it, a client's end was never noticed (the HTTP server stops reading after one byte), and its attempt ran on; - a client that had left was still sent on where the loop was behind, the dial was open or a retry began, as only the loop knew of it, in its turn; - one that ended only its sending read '200 OK' with no body, which no programme server made: the handler returned without an answer and the library made one up; - closing over unread bytes reset the connection and cut a slow reader's answer (4,035 of 65,536 bytes came); - the library's close of idle connections knows a connection as idle until the next request's head is parsed, and closed one on which a request had just been read, and which was then sent on; - with all places held by idle clients one with a request waited up to 2.1 s in the kernel's queue.

Change: 'clients' owns all connections and their stages under one lock. A request is taken or its connection is closed, never both; a close ends the agent's side, reads on for 300 ms or 256 KiB and then closes; what comes behind a request is read ahead, bounded; the oldest idle connection gives its place at once. An attempt asks before its first byte whether its client is there, by the system's own word, and ends as Moot if not; the client gone is written nothing. Shutdown no longer uses the library's, and an unread answer keeps its place for 2 s, not 65.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -108,7 +108,9 @@
 
 func do(t *testing.T, req *http.Request) (int, string, http.Header) {
 	t.Helper()
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	ctx, cancel := context.WithTimeout(req.Context(), time.Minute)
+	defer cancel()
+	resp, err := http.DefaultTransport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
@@ -317,14 +319,14 @@
 	if ask().Close {
 		t.Fatal("closed though there is room")
 	}
-	for len(a.clients) <= cap(a.clients)*7/8 {
-		n := len(a.clients)
+	for !a.clients.few() {
+		n := a.clients.count()
 		c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer c.Close()
-		for len(a.clients) == n {
+		for a.clients.count() == n {
 			time.Sleep(time.Millisecond) // until it is accepted
 		}
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -26,6 +26,7 @@
 	errCancelled = errors.New("attempt cancelled")
 	errSurplus   = errors.New("answer: bytes behind its end, or an end in doubt")
 	errDrained   = errors.New("backend drains or is gone")
+	errGone      = errors.New("nobody waits for the answer")
 )
 
 // backend is one listed server and the connections to it. The loop owns it; the
@@ -161,6 +162,10 @@
 	case over:
 		return false
 	}
+	if a.req.over() {
+		a.withdraw()
+		return false
+	}
 	return c.framing.begin() && a.stage.CompareAndSwap(waiting, sending)
 }
 
@@ -271,6 +276,8 @@
 	never := a.withdraw()
 	cause := context.Cause(a.ctx)
 	switch {
+	case never && a.req.settled.Load():
+		return policy.Moot // the backend is not to blame
 	case never && (errors.Is(err, errSockets) || errors.Is(cause, errDrained)):
 		return policy.Full
 	case errors.Is(cause, errCancelled):
--- /dev/null
+++ b/internal/agent/crossing_test.go
@@ -0,0 +1,522 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"molepaddle/policy"
+)
+
+// Tests of what ends in the very moment in which something is still owed. Each crossing is
+// forced: by a loop that does not run yet, a connect that is held, an answer kept back.
+
+// soon bounds the waits of these tests.
+const soon = 20 * time.Second
+
+func wait[T any](t *testing.T, what string, c <-chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-c:
+	case <-time.After(soon):
+		t.Fatalf("%s: nothing within %v", what, soon)
+	}
+	return v
+}
+
+func until(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(soon); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v", what, soon)
+		}
+	}
+}
+
+// asBytes is a request on the wire.
+func asBytes(id string) string {
+	return "POST /order/u1 HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\nRequest-Timeout: 30000m\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// halted serves an agent whose loop runs only once run is called.
+func halted(t *testing.T, conf map[string]any) (a *Agent, base string, run func()) {
+	t.Helper()
+	a, err := New(parse(t, conf), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go a.server.Serve(&listener{Listener: ln, clients: a.clients})
+	t.Cleanup(func() {
+		a.clients.abort()
+		a.server.Close()
+		a.stop()
+	})
+	return a, "http://" + ln.Addr().String(), func() { go a.loop.run() }
+}
+
+// kept is a backend that answers only when it is told to, and counts what comes.
+func kept(t *testing.T) (addr string, came chan string, answer chan string, cut chan struct{}) {
+	came, answer, cut = make(chan string, 100), make(chan string, 100), make(chan struct{}, 100)
+	addr = rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			came <- req.Header.Get("Request-Id")
+			ended := make(chan struct{})
+			go func() {
+				r.Peek(1)
+				close(ended)
+			}()
+			select {
+			case text := <-answer:
+				io.WriteString(c, text)
+				<-ended // the next request begins, or the end
+			case <-ended:
+				cut <- struct{}{}
+				return
+			case <-time.After(soon):
+				return
+			}
+		}
+	})
+	return addr, came, answer, cut
+}
+
+// stalled is a log that keeps who writes a line on a failover waiting: so the loop can be made
+// to stand, as often as stall is called.
+type stalled struct{ held, release chan struct{} }
+
+func newStalled(a *Agent) stalled {
+	s := stalled{held: make(chan struct{}, 10), release: make(chan struct{}, 10)}
+	a.loop.log = slog.New(s)
+	return s
+}
+
+func (s stalled) stall(a *Agent) { a.loop.post(input{kind: inFailover, from: a.loop.disc}) }
+
+func (s stalled) Enabled(context.Context, slog.Level) bool { return true }
+func (s stalled) WithAttrs([]slog.Attr) slog.Handler       { return s }
+func (s stalled) WithGroup(string) slog.Handler            { return s }
+func (s stalled) Handle(_ context.Context, r slog.Record) error {
+	if strings.HasPrefix(r.Message, "discovery: asked elsewhere") {
+		s.held <- struct{}{}
+		<-s.release
+	}
+	return nil
+}
+
+// A client that left while its request waited is sent nowhere, however much the agent is
+// behind: many leave at once here, before the loop has looked at any of them.
+func TestGoneBeforeTheLoopLooked(t *testing.T) {
+	var addrs []string
+	came := make(chan string, 1000)
+	for range 20 {
+		addrs = append(addrs, rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+			if req, err := readRequest(r); err == nil {
+				came <- req.Header.Get("Request-Id")
+				io.WriteString(c, okAnswer)
+			}
+		}))
+	}
+	a, base, run := halted(t, config(nowhere, addrs...))
+	s := newStalled(a)
+	const many = 20
+	conns := []net.Conn{}
+	for i := range many {
+		c, _ := peer(t, base)
+		io.WriteString(c, asBytes(fmt.Sprint("gone", i)))
+		conns = append(conns, c)
+	}
+	until(t, "all wait for the loop", func() bool { return len(a.loop.in) == many })
+	s.stall(a) // behind the requests, and before what is told of their clients
+	for _, c := range conns {
+		c.Close()
+	}
+	until(t, "their ends wait", func() bool { return len(a.loop.in) > many+1 })
+	run()
+	wait(t, "the loop stands", s.held)
+	time.Sleep(100 * time.Millisecond) // in which what it sent on would arrive
+	s.release <- struct{}{}
+	if status, _, _ := do(t, call(base, "order")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	if id := wait(t, "the one that stayed", came); id != "id1" || len(came) > 0 {
+		t.Fatalf("%q and %d more were sent on", id, len(came))
+	}
+	until(t, "their places are given back", func() bool { return a.clients.count() <= 1 })
+}
+
+// A client that leaves while the connection to its backend comes up is not sent on, though
+// nobody has told the loop yet.
+func TestGoneWhileDialling(t *testing.T) {
+	read := make(chan int64, 1)
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, r)
+		read <- n
+	})
+	a, base, run := halted(t, config(nowhere, addr))
+	plain := a.loop.dialer.connect
+	dialling, proceed := make(chan struct{}), make(chan struct{})
+	a.loop.dialer.connect = func(_ context.Context, network, addr string) (net.Conn, error) {
+		close(dialling)
+		<-proceed
+		return plain(context.Background(), network, addr) // it came up in spite of its end
+	}
+	run()
+	c, _ := peer(t, base)
+	io.WriteString(c, asBytes("gone"))
+	wait(t, "the dial", dialling)
+	c.Close()
+	close(proceed)
+	if n := wait(t, "the backend's connection ends", read); n != 0 {
+		t.Fatalf("the backend got %d bytes for a client that had gone", n)
+	}
+}
+
+// The very first byte asks whether the client is there: between the checkout of a kept
+// connection and that byte, too, and where its end stands behind the request unseen.
+func TestGoneBeforeTheFirstByte(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	tr := newDialer().newTransport()
+	defer tr.CloseIdleConnections()
+	if res := newAttempt(tr, addr, http.MethodPost, never).run(); res.status != policy.OK {
+		t.Fatalf("ended %d", res.status)
+	}
+	near, far := pair(t)
+	a := newAttempt(tr, addr, http.MethodPost, never)
+	a.req.client = newClients(1).add(near, nil)
+	far.Close()
+	until(t, "its end is there", a.req.client.gone)
+	if res := a.run(); res.status != policy.Moot {
+		t.Fatalf("ended %d, want as never begun and nobody to blame", res.status)
+	}
+	if a.conn.Load() == nil {
+		t.Fatal("it never got as far as a connection")
+	}
+}
+
+// pair is the two ends of a connection.
+func pair(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if far, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if near, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+// A client that leaves with a part of a next request sent behind is seen to go all the same,
+// whether that came before its request was taken or after, and however much it was.
+func TestGoneBehindAPipelinedRequest(t *testing.T) {
+	for _, size := range []int{1, 50, aheadMost + 1, 200 << 10} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			addr, came, _, cut := kept(t)
+			a, base, _, _ := start(t, config(nowhere, addr))
+			c, _ := peer(t, base)
+			behind := "POST /order/u2 HTTP/1.1\r\nX: " + strings.Repeat("x", size)
+			io.WriteString(c, asBytes("first")+behind[:1])
+			wait(t, "the request", came)
+			io.WriteString(c, behind[1:][:size-1])
+			c.Close()
+			wait(t, "the attempt is given up", cut)
+			until(t, "its place is given back", func() bool { return a.clients.count() == 0 })
+		})
+	}
+}
+
+// What is read behind a request is not lost to the next one.
+func TestPipelinedRequestIsAnswered(t *testing.T) {
+	addr, came, answer, _ := kept(t)
+	_, base, _, _ := start(t, config(nowhere, addr))
+	c, r := peer(t, base)
+	second := asBytes("second")
+	io.WriteString(c, asBytes("first")+second[:1])
+	wait(t, "the first", came)
+	io.WriteString(c, second[1:20])
+	time.Sleep(5 * time.Millisecond) // some of it is read ahead, whatever part
+	io.WriteString(c, second[20:])
+	for range 2 {
+		answer <- okAnswer
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("got %v, %v", resp, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+	}
+	if id := wait(t, "the second", came); id != "second" {
+		t.Fatalf("got %q", id)
+	}
+}
+
+// A client that leaves between an attempt that failed and the next: no further one begins.
+func TestGoneBeforeTheRetry(t *testing.T) {
+	var addrs []string
+	var all []chan string
+	turnedAway := "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+	answers := make([]chan string, 3)
+	for i := range answers {
+		addr, came, answer, _ := kept(t)
+		addrs, all, answers[i] = append(addrs, addr), append(all, came), answer
+	}
+	a, base, run := halted(t, config(nowhere, addrs...))
+	s := newStalled(a)
+	run()
+	c, _ := peer(t, base)
+	io.WriteString(c, asBytes("gone"))
+	until(t, "the first attempt", func() bool { return len(all[0])+len(all[1])+len(all[2]) == 1 })
+	// The loop stands still while the attempt is turned away, and again once it has heard of
+	// that, before it hears of the client.
+	s.stall(a)
+	wait(t, "the loop stands", s.held)
+	for i := range answers {
+		answers[i] <- turnedAway
+	}
+	until(t, "the outcome waits", func() bool { return len(a.loop.in) > 0 })
+	s.stall(a)
+	c.Close()
+	until(t, "the client's end waits", func() bool { return len(a.loop.in) > 2 })
+	s.release <- struct{}{}
+	wait(t, "the loop stands again", s.held)
+	time.Sleep(100 * time.Millisecond) // in which a second attempt would arrive
+	s.release <- struct{}{}
+	until(t, "the place is given back", func() bool { return a.clients.count() == 0 })
+	if n := len(all[0]) + len(all[1]) + len(all[2]); n != 1 {
+		t.Fatalf("%d attempts of a client that had gone", n)
+	}
+}
+
+// One that ends only its sending has gone as well, and must not read an answer that nobody
+// made.
+func TestHalfClosedClientIsAnsweredNothing(t *testing.T) {
+	addr, came, _, cut := kept(t)
+	_, base, _, _ := start(t, config(nowhere, addr))
+	c, r := peer(t, base)
+	io.WriteString(c, asBytes("half"))
+	wait(t, "the request", came)
+	c.(*net.TCPConn).CloseWrite()
+	if text, err := io.ReadAll(r); err != nil || len(text) > 0 {
+		t.Fatalf("read %q, %v", text, err)
+	}
+	wait(t, "the attempt is given up", cut)
+}
+
+// A request whose bytes come as its connection is closed is never sent on, and the answer
+// before it is read whole, with an end and no reset behind it.
+func TestRequestCrossesTheClose(t *testing.T) {
+	for name, kind := range map[string]func(a *Agent, stop func()){
+		"shutdown": func(a *Agent, stop func()) { stop() },
+		"drain":    func(a *Agent, stop func()) { a.clients.drain() },
+	} {
+		for _, size := range []int{10, len(asBytes("late")), 1 << 20} {
+			t.Run(fmt.Sprint(name, size), func(t *testing.T) {
+				addr, came := counted(t, 200, false)
+				a, base, stop, ended := start(t, config(nowhere, addr))
+				c, r := peer(t, base)
+				io.WriteString(c, asBytes("first"))
+				wait(t, "the first", came)
+				until(t, "it rests", func() bool { return a.clients.at(resting) == 1 })
+				kind(a, stop)
+				until(t, "the close has begun", func() bool { return a.clients.at(closing) == 1 })
+				late := asBytes("late") + strings.Repeat("x", 1<<20)
+				c.SetWriteDeadline(time.Now().Add(soon))
+				go io.WriteString(c, late[:size])
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil || resp.StatusCode != 200 {
+					t.Fatalf("the answer before: %v, %v", resp, err)
+				}
+				if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "done" {
+					t.Fatalf("the answer before: %q, %v", body, err)
+				}
+				// More than is lingered for may be cut off by a reset.
+				if rest, err := io.ReadAll(r); len(rest) > 0 || err != nil && size < lingerBytes {
+					t.Fatalf("behind it: %q, %v", rest, err)
+				}
+				// The client stays: else it had gone before its request could be sent on.
+				until(t, "its place is given back", func() bool { return a.clients.count() == 0 })
+				if len(came) > 0 {
+					t.Fatalf("%q was sent on", <-came)
+				}
+				if name == "shutdown" {
+					if err := wait(t, "the end", ended); err != nil {
+						t.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// at is how many connections are at a stage.
+func (cs *clients) at(s stage) (n int) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.conns {
+		if c.stage == s {
+			n++
+		}
+	}
+	return n
+}
+
+// A request that was read whole in the instant in which its connection began to be closed is
+// not taken; one that was taken first is answered, and only then closed.
+func TestTakenOrClosed(t *testing.T) {
+	addr, came, answer, _ := kept(t)
+	a, base, _, _ := start(t, config(nowhere, addr))
+	c, r := peer(t, base)
+	io.WriteString(c, asBytes("first"))
+	wait(t, "it is sent on", came)
+	a.clients.drain() // while it is out
+	answer <- okAnswer
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answered %v, %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("behind the answer: %v, want an end", err)
+	}
+
+	// The other order: the bytes have been read by the server, the handler comes next.
+	c2, r2 := peer(t, base)
+	a.clients.mu.Lock()
+	io.WriteString(c2, asBytes("second"))
+	a.clients.mu.Unlock()
+	wait(t, "it is sent on", came)
+	answer <- okAnswer
+	if resp, err := http.ReadResponse(r2, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("answered %v, %v", resp, err)
+	}
+	near, far := pair(t)
+	cc := a.clients.add(near, nil)
+	a.clients.mu.Lock()
+	cc.halfClose()
+	a.clients.mu.Unlock()
+	if cc.take() {
+		t.Fatal("a request is taken on a connection that is being closed")
+	}
+	io.WriteString(far, asBytes("third"))
+	far.Close()
+	if n, err := cc.Read(make([]byte, 100)); n != 0 || err == nil {
+		t.Fatalf("%d bytes were read behind the close, %v", n, err)
+	}
+	cc.Close()
+}
+
+// An answer with the connection's end behind it arrives whole though its client, slow to read
+// it, sends something more: a close before that came would reset the connection, and the part
+// that the system still holds would be gone.
+func TestNoResetBehindAnAnswer(t *testing.T) {
+	addr, came, answer, _ := kept(t)
+	a, base, _, _ := start(t, config(nowhere, addr))
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := d.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(soon))
+	io.WriteString(c, asBytes("first"))
+	wait(t, "it is sent on", came)
+	a.leaving.Store(true) // its answer says that the connection ends
+	body := strings.Repeat("y", maxBody)
+	answer <- fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	r := bufio.NewReaderSize(c, 16)
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "it is closed", func() bool { return a.clients.at(taken) == 0 })
+	io.WriteString(c, asBytes("behind"))
+	time.Sleep(20 * time.Millisecond)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("answered %v, %v", resp, err)
+	}
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != body {
+		t.Fatalf("read %d bytes of the answer, %v", len(got), err)
+	}
+	if len(came) > 0 {
+		t.Fatalf("%q was sent on", <-came)
+	}
+}
+
+// What came behind a request before it was taken is read ahead from then on.
+func TestAheadOfTheTaking(t *testing.T) {
+	near, far := pair(t)
+	c := newClients(1).add(near, nil)
+	io.WriteString(far, "xy")
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil { // as the HTTP server does beside a request
+		t.Fatal(n, err)
+	}
+	if !c.take() {
+		t.Fatal("not taken")
+	}
+	far.Close()
+	wait(t, "the client is seen to go", c.left)
+	c.Close()
+}
+
+// Idle clients that hold all places give way to one with a request at once, whether they have
+// asked something before or never did.
+func TestIdleClientsGiveWay(t *testing.T) {
+	for _, asked := range []bool{true, false} {
+		t.Run(fmt.Sprint(asked), func(t *testing.T) {
+			addr, came := counted(t, 200, false)
+			conf := config(nowhere, addr)
+			conf["limits"].(map[string]any)["sockets"] = minSockets
+			a, base, _, _ := start(t, conf)
+			for range a.clients.most { // nobody reads from these: they don't end by themselves
+				near, _ := pair(t)
+				c := a.clients.add(near, nil)
+				a.clients.mu.Lock()
+				c.answered, c.since = asked, time.Now().Add(-freshFor)
+				a.clients.mu.Unlock()
+			}
+			began := time.Now()
+			for i := range 2 * a.clients.most {
+				if status, _, _ := do(t, call(base, "order")); status != 200 {
+					t.Fatalf("request %d: answered %d", i, status)
+				}
+				wait(t, "the request", came)
+				http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+			}
+			if took := time.Since(began); took > soon/2 {
+				t.Fatalf("took %v", took)
+			}
+			if n := a.clients.count(); n > a.clients.most {
+				t.Fatalf("%d connections, %d places", n, a.clients.most)
+			}
+		})
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -51,6 +51,8 @@
 // request is what a client asked. The handler fills it in; what stands below
 // answers belongs to the loop.
 type request struct {
+	client      *clientConn // nil: none waits
+	settled     atomic.Bool // by its handler, which waits no longer: no attempt may begin
 	class       int
 	tenant      int
 	key         uint64
@@ -211,6 +213,11 @@
 	case inDropped:
 		if r := in.req; r.id != 0 && !r.answered {
 			r.answered = true
+			for _, a := range r.attempts {
+				if a.withdraw() {
+					a.cancel(errGone)
+				}
+			}
 			l.tell(&policy.Event{Kind: policy.EvDropped, Request: r.id})
 			l.forget(r)
 		}
@@ -369,6 +376,15 @@
 	}
 }
 
+// over tells whether nobody waits for the answer any more. It is asked last of all before an
+// attempt begins: the client may have gone while the request waited, or a connection came up.
+func (r *request) over() bool {
+	if !r.settled.Load() && r.client != nil && r.client.gone() {
+		r.settled.Store(true)
+	}
+	return r.settled.Load()
+}
+
 // forget drops a request that is answered and has no attempt out.
 func (l *loop) forget(r *request) {
 	if r.answered && r.open == 0 {
@@ -435,7 +451,7 @@
 	a.index = len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.open++
-	if !b.usable || r.answered {
+	if !b.usable || r.answered || r.settled.Load() {
 		// The module sends to what is listed as ready only; should it not, nothing goes out.
 		a.cancel(nil)
 		l.todo = append(l.todo, input{kind: inOutcome, att: a, res: result{status: policy.Moot}})
--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -108,7 +108,7 @@
 			if len(came) > 0 {
 				t.Fatal("reached a backend")
 			}
-			for len(a.clients) > 1 { // one waits for the next client
+			for a.clients.count() > 0 {
 				time.Sleep(time.Millisecond) // the place is given back after the close
 			}
 		})
@@ -123,7 +123,7 @@
 	conf["limits"].(map[string]any)["sockets"] = minSockets
 	a, base, _, _ := start(t, conf)
 	closed := 0
-	for range cap(a.clients) {
+	for range a.clients.most {
 		c, r := peer(t, base)
 		io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
 		resp, err := http.ReadResponse(r, nil)
@@ -134,11 +134,11 @@
 			closed++
 		}
 	}
-	if closed == 0 || closed == cap(a.clients) {
-		t.Fatalf("%d of %d were told to close, want those that found few places left", closed, cap(a.clients))
+	if closed == 0 || closed == a.clients.most {
+		t.Fatalf("%d of %d were told to close, want those that found few places left", closed, a.clients.most)
 	}
-	for len(a.clients) > 1 {
-		time.Sleep(time.Millisecond) // one waits for the next client
+	for a.clients.count() > 0 {
+		time.Sleep(time.Millisecond)
 	}
 	if status, _, _ := do(t, call(base, "order")); status != 200 {
 		t.Fatalf("answered %d", status)
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -35,6 +35,8 @@
 	// idleWait is how long a connection without a request keeps its place: no shorter than
 	// clients may rely on, as no place is left for others while idle ones hold them all.
 	idleWait = 2100 * time.Millisecond
+	// writeWait is how long a client may take to read its answer.
+	writeWait = 2 * time.Second
 	// maxTimeout is the longest deadline there is, with room to spare.
 	maxTimeout = time.Minute
 )
@@ -59,7 +61,7 @@
 	conf    *Config
 	log     *slog.Logger
 	leaving atomic.Bool
-	clients chan struct{} // a place for each client connection
+	clients *clients
 	stop    context.CancelFunc
 }
 
@@ -72,18 +74,17 @@
 		return nil, err
 	}
 	a := &Agent{loop: l, conf: c, log: log, stop: stop,
-		clients: make(chan struct{}, clientSockets(c.Limits.Sockets))}
+		clients: newClients(clientSockets(c.Limits.Sockets))}
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headWait,
 		IdleTimeout:       idleWait,
 		MaxHeaderBytes:    maxBody,
-		WriteTimeout:      maxTimeout + 5*time.Second, // a client that never reads
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, clientKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if c, ok := c.(*clientConn); ok && state == http.StateIdle {
-				c.head.reset()
+				c.rest()
 			}
 		},
 	}
@@ -95,13 +96,19 @@
 	defer a.stop()
 	go a.loop.run()
 	failed := make(chan error, 1)
-	go func() { failed <- a.server.Serve(&listener{Listener: ln, places: a.clients}) }()
+	end := make(chan struct{})
+	go func() { failed <- a.server.Serve(&listener{Listener: ln, clients: a.clients, end: end}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	return a.leave()
+	a.leave(func() {
+		close(end)
+		ln.Close()
+		<-failed
+	})
+	return nil
 }
 
 // Reconfigure takes over what may change while the agent runs: discovery's addresses.
@@ -109,75 +116,30 @@
 	a.loop.post(input{kind: inMoved, addrs: c.addresses()})
 }
 
-// leave ends the agent in order: clients go on coming for a while after the signal,
-// so idle connections are closed first, while what crosses that can still come on a
-// new one; then the listener; then all that is held is answered.
-func (a *Agent) leave() error {
+// leave ends the agent in order: clients go on coming for a while after the signal, so
+// connections at rest are closed first, while what crosses that can still come on a new one;
+// then no more are accepted; then all that is held is answered.
+func (a *Agent) leave(acceptNoMore func()) {
 	a.leaving.Store(true)
 	a.loop.post(input{kind: inLeaving})
-	a.server.SetKeepAlivesEnabled(false)
+	a.clients.drain()
 	time.Sleep(acceptFor)
+	acceptNoMore()
 	longest := 0.0
 	for _, c := range a.conf.Settings.Classes {
 		longest = max(longest, c.GiveUpMs)
 	}
-	// Shutdown looks ever less often, up to every half second; begun anew it notices
-	// at once when the last answer is out.
-	for end := time.Now().Add(ms(longest) + 50*time.Millisecond); time.Now().Before(end); {
-		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
-		err := a.server.Shutdown(ctx)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		if !errors.Is(err, context.DeadlineExceeded) {
-			return fmt.Errorf("shutdown: %w", err)
-		}
+	look := time.NewTicker(10 * time.Millisecond)
+	defer look.Stop()
+	for end := time.Now().Add(ms(longest) + 100*time.Millisecond); a.clients.closeFresh(freshFor) > 0 && time.Now().Before(end); {
+		<-look.C
 	}
-	return a.server.Close() // what is left is over its deadline, or never sent a request
-}
-
-// clientConn is a client's connection. It gives its place back once.
-type clientConn struct {
-	net.Conn
-	places chan struct{}
-	closed atomic.Bool
-	head   head
+	a.clients.abort() // what is left is over its deadline, or never sent a request
 }
 
 // clientKey finds the clientConn in a request's context.
 type clientKey struct{}
 
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.head.scan(p[:n])
-	return n, err
-}
-
-func (c *clientConn) Close() error {
-	if !c.closed.Swap(true) {
-		<-c.places
-	}
-	return c.Conn.Close()
-}
-
-// listener takes a connection when there is a place for it; until then it stays in
-// the kernel's queue.
-type listener struct {
-	net.Listener
-	places chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	l.places <- struct{}{}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.places
-		return nil, err
-	}
-	return &clientConn{Conn: c, places: l.places}, nil
-}
-
 // problem is why a request is not taken.
 type problem struct {
 	status int
@@ -192,7 +154,8 @@
 		// Also where it is not read here: net/http reads on to the next request.
 		_ = control.SetReadDeadline(came.Add(bodyWait))
 	}
-	if c, ok := hr.Context().Value(clientKey{}).(*clientConn); ok && c.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
+	client, _ := hr.Context().Value(clientKey{}).(*clientConn)
+	if client != nil && client.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
 		w.Header().Set("Connection", "close")
 		a.write(w, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
 		return
@@ -211,6 +174,9 @@
 	// A panic must not leave the request without an answer, nor the module with it.
 	defer func() {
 		if p := recover(); p != nil {
+			if p == http.ErrAbortHandler {
+				panic(p) // ends the connection without an answer, as it should be
+			}
 			a.log.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
 			if r != nil {
 				a.loop.post(input{kind: inDropped, req: r})
@@ -228,6 +194,13 @@
 		return
 	}
 	_ = control.SetReadDeadline(time.Time{})
+	var left chan struct{}
+	if r.client = client; client != nil {
+		if !client.take() {
+			panic(http.ErrAbortHandler) // it is being closed: the client may send this again
+		}
+		left = client.left
+	}
 	guard := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guard.Stop()
 	a.loop.post(input{kind: inRequest, req: r})
@@ -235,14 +208,21 @@
 	case ans := <-r.answers:
 		answered = true
 		a.answer(w, r, ans)
-	case <-hr.Context().Done(): // the client has gone
-		answered = true
-		a.loop.post(input{kind: inDropped, req: r})
+		return
+	case <-hr.Context().Done():
+	case <-left:
 	case <-guard.C:
 		answered = true
+		r.settled.Store(true)
 		a.write(w, http.StatusGatewayTimeout, "", nil)
 		a.loop.post(input{kind: inDropped, req: r})
+		return
 	}
+	// The client has gone. Whatever is written now could still be read as an answer by one
+	// that has only ended its sending.
+	r.settled.Store(true)
+	a.loop.post(input{kind: inDropped, req: r})
+	panic(http.ErrAbortHandler)
 }
 
 func (a *Agent) serveReady(w http.ResponseWriter) {
@@ -320,13 +300,14 @@
 	}
 }
 
-// write sends an answer. While few places are left connections are closed after it,
-// so that idle ones don't keep others waiting; while the agent leaves, the server does so.
+// write sends an answer. While few places are left connections are closed after it, so that
+// idle ones don't keep others waiting, and while the agent leaves.
 func (a *Agent) write(w http.ResponseWriter, status int, kind string, body []byte) {
 	h := w.Header()
-	if len(a.clients) > cap(a.clients)*7/8 {
+	if a.leaving.Load() || a.clients.few() {
 		h.Set("Connection", "close")
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWait))
 	h["Date"] = nil
 	if kind == "" {
 		h["Content-Type"] = nil // not to be guessed
