Keep repeats within their window on the wire, and tell late and chunked surplus

Cause, read in the code and forced in tests: a repeat was decided within its window, but its connection might take 250 ms more to come up, and it then arrived as a new request where windows are some hundred ms; one whose window was over was held to its aim. Bytes behind a chunked answer were not followed, and a second answer that comes some ms late was taken for the answer to the next request on that connection. A connection that came up in the moment in which its attempt was given up was kept for 15 s.

Change: a send says until when its last byte has to be out; the attempt begins by then or never, and its writes are bounded by it. What is held ends with its window. Chunks are followed to the last trailer; a connection rests 20 ms after an answer before the next request goes out on it, and bytes in that time end it. A dial that was given up closes what it got.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -27,6 +27,7 @@
 	errSurplus   = errors.New("answer: bytes behind its end, or an end in doubt")
 	errDrained   = errors.New("backend drains or is gone")
 	errGone      = errors.New("nobody waits for the answer")
+	errLate      = errors.New("too late for a repeat to be known as one")
 )
 
 // backend is one listed server and the connections to it. The loop owns it; the
@@ -78,6 +79,10 @@
 	ctx, cancel := context.WithTimeout(a.ctx, d.timeout)
 	defer cancel()
 	c, err := d.connect(ctx, network, addr)
+	if err == nil && a.ctx.Err() != nil { // it came up in the moment in which it was given up
+		c.Close()
+		err = a.ctx.Err()
+	}
 	if err != nil {
 		d.open.Add(-1)
 		return nil, err
@@ -111,6 +116,9 @@
 	if a == nil || !a.begin(c) {
 		return 0, errWithdrawn
 	}
+	if err := c.Conn.SetWriteDeadline(a.by); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	if err != nil && n < len(p) {
 		a.cut.Store(true) // the last byte can no longer follow
@@ -139,6 +147,7 @@
 	index   int
 	backend *backend
 	started time.Time
+	by      time.Time // when its last byte has to be written; zero: whenever
 
 	transport *http.Transport // the backend's, and its address, when the attempt began
 	dial      string
@@ -162,13 +171,17 @@
 	case over:
 		return false
 	}
-	if a.req.over() {
+	time.Sleep(c.framing.settles())
+	if a.req.over() || a.late() {
 		a.withdraw()
 		return false
 	}
 	return c.framing.begin() && a.stage.CompareAndSwap(waiting, sending)
 }
 
+// late tells whether the time is over in which it may go out.
+func (a *attempt) late() bool { return !a.by.IsZero() && !time.Now().Before(a.by) }
+
 // withdraw stops an attempt of which no byte went out, and reports whether it is so.
 func (a *attempt) withdraw() bool {
 	return a.stage.CompareAndSwap(waiting, over) || a.stage.Load() == over
@@ -193,6 +206,13 @@
 // run sends the attempt and waits for its end. When it returns, the connection is
 // closed or free for the next, and no further byte of the attempt goes out.
 func (a *attempt) run() result {
+	if !a.by.IsZero() {
+		defer time.AfterFunc(time.Until(a.by), func() {
+			if a.withdraw() {
+				a.cancel(errLate)
+			}
+		}).Stop()
+	}
 	res, err := a.roundTrip()
 	if err != nil {
 		res.status = a.ending(err)
@@ -276,7 +296,7 @@
 	never := a.withdraw()
 	cause := context.Cause(a.ctx)
 	switch {
-	case never && a.req.settled.Load():
+	case never && (a.req.settled.Load() || a.late()):
 		return policy.Moot // the backend is not to blame
 	case never && (errors.Is(err, errSockets) || errors.Is(cause, errDrained)):
 		return policy.Full
--- a/internal/agent/head.go
+++ b/internal/agent/head.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // longestName is how much of a line is kept to know its field by.
@@ -56,28 +57,45 @@
 // maxLine is how much of a line of an answer's head is kept: enough for what is read of it.
 const maxLine = 64
 
+// settleFor is how long a connection rests after an answer before the next request goes out on
+// it: what a backend sends behind an answer may come some milliseconds after it, and would
+// then be taken for the answer to that request.
+const settleFor = 20 * time.Millisecond
+
 // framing follows where the answer on a backend's connection ends, to notice bytes behind
 // it. net/http leaves those in its buffer, and where the next request is quick they are
 // taken for its answer.
 type framing struct {
 	mu sync.Mutex
 	answerEnd
-	over bool // bytes came behind the end, or before there was a request
+	over    bool      // bytes came behind the end, or before there was a request
+	endedAt time.Time // of the answer before
 }
 
 // answerEnd is how far an answer has come.
 type answerEnd struct {
-	line     []byte // of the head, as far as it has come
+	line     []byte // of the head or between chunks, as far as it has come
+	part     part   // of the answer that the line belongs to
 	started  bool   // the status line has come
 	interim  bool   // the head is of a 1xx answer: another follows
 	bodyless bool   // the status allows no body
-	sized    bool   // the head tells the body's length
+	sized    bool   // the head tells the body's length,
+	length   int    // which is this,
 	coded    bool   // and that the body tells it
-	ended    bool   // the head has ended
-	open     bool   // the end shows in the body or by the close, and is not followed
-	left     int    // bytes of the body to come
+	ended    bool   // no line follows
+	open     bool   // the end is the connection's
+	left     int    // bytes of the body or the chunk to come
 }
 
+// part is what the lines of an answer may belong to.
+type part uint8
+
+const (
+	inHead part = iota
+	inSizes
+	inTrailer
+)
+
 // begin makes ready for the answer to the next request; not if bytes came unasked.
 func (f *framing) begin() bool {
 	f.mu.Lock()
@@ -86,27 +104,63 @@
 	return !f.over
 }
 
+// settles is how long the connection still has to rest.
+func (f *framing) settles() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return settleFor - time.Since(f.endedAt)
+}
+
 // scan takes the bytes that the connection reads next, and returns how many are the answer's.
 func (f *framing) scan(p []byte) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := len(p)
-	for len(p) > 0 && !f.ended {
-		part, rest, whole := bytes.Cut(p, []byte("\n"))
-		f.line = append(f.line, part[:min(len(part), maxLine-len(f.line))]...)
-		if !whole {
-			return all
+	for len(p) > 0 && !f.open {
+		switch {
+		case f.left > 0:
+			n := min(len(p), f.left)
+			f.left -= n
+			p = p[n:]
+		case f.ended:
+			f.over = true
+			return all - len(p)
+		default:
+			text, rest, whole := bytes.Cut(p, []byte("\n"))
+			f.line = append(f.line, text[:min(len(text), maxLine-len(f.line))]...)
+			if !whole {
+				return all
+			}
+			line := strings.TrimSuffix(string(f.line), "\r")
+			f.line, p = f.line[:0], rest
+			f.take(line)
+		}
+		if f.ended && f.left == 0 {
+			f.endedAt = time.Now()
 		}
-		f.head(strings.TrimSuffix(string(f.line), "\r"))
-		f.line, p = f.line[:0], rest
 	}
-	if f.open {
-		return all
+	return all
+}
+
+// take takes one line of the answer. What makes no sense net/http refuses.
+func (f *framing) take(line string) {
+	switch f.part {
+	case inHead:
+		f.head(line)
+	case inSizes:
+		size, _, _ := strings.Cut(line, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		switch {
+		case err != nil:
+			f.over, f.ended = true, true
+		case n == 0:
+			f.part = inTrailer
+		default:
+			f.left = int(n) + len("\r\n")
+		}
+	case inTrailer:
+		f.ended = line == ""
 	}
-	surplus := max(len(p)-f.left, 0)
-	f.over = f.over || surplus > 0
-	f.left -= len(p) - surplus
-	return all - surplus
 }
 
 // head takes one line of the head. What makes no sense net/http refuses.
@@ -120,17 +174,21 @@
 	case line == "" && f.interim:
 		f.answerEnd = answerEnd{}
 	case line == "":
-		f.ended = true
 		f.over = f.over || f.sized && f.coded // its end can be read in two ways
+		if f.coded && !f.bodyless {
+			f.part = inSizes
+			return
+		}
+		f.ended = true
 		f.open = !f.sized && !f.bodyless
-		if !f.sized || f.bodyless {
-			f.left = 0
+		if f.sized && !f.bodyless {
+			f.left = f.length
 		}
 	case strings.EqualFold(name, "Transfer-Encoding"):
 		f.coded = true
 	case strings.EqualFold(name, "Content-Length"):
 		n, _ := strconv.Atoi(strings.TrimSpace(value))
-		f.left, f.sized = max(n, 0), true
+		f.length, f.sized = max(n, 0), true
 	}
 }
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -448,6 +448,9 @@
 		b = &backend{addr: act.Server, transport: l.dialer.newTransport()}
 	}
 	a := l.attempt(r, b, ms(act.Ms))
+	if act.ByMs > 0 {
+		a.by = a.started.Add(ms(act.ByMs))
+	}
 	a.index = len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.open++
--- /dev/null
+++ b/internal/agent/window_test.go
@@ -0,0 +1,212 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"molepaddle/policy"
+)
+
+// A repeat whose connection comes up only when the window of its first attempt is over is not
+// sent: it would be taken for a new request. It is answered then, not at its deadline.
+func TestRepeatNeverArrivesAfterItsWindow(t *testing.T) {
+	const window = 300 * time.Millisecond
+	came, ended := make(chan string, 10), make(chan struct{}, 10)
+	fails := func(c net.Conn, r *bufio.Reader) {
+		defer func() { ended <- struct{}{} }()
+		for {
+			req, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			came <- req.Header.Get("Request-Id")
+			io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		}
+	}
+	conf := config(nowhere, rawBackend(t, fails), rawBackend(t, fails))
+	for _, class := range conf["settings"].(map[string]any)["classes"].([]any) {
+		class.(map[string]any)["keyTtlMs"] = window.Milliseconds()
+	}
+	a, base, run := halted(t, conf)
+	plain := a.loop.dialer.connect
+	dials, held := make(chan int32, 10), make(chan struct{})
+	var n atomic.Int32
+	a.loop.dialer.connect = func(_ context.Context, network, addr string) (net.Conn, error) {
+		i := n.Add(1)
+		dials <- i
+		if i > 1 {
+			<-held // comes up late, in spite of its end
+		}
+		return plain(context.Background(), network, addr)
+	}
+	run()
+	began := time.Now()
+	answered := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultTransport.RoundTrip(call(base, "send"))
+		if err != nil {
+			t.Error(err)
+			answered <- 0
+			return
+		}
+		resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	wait(t, "the first attempt", dials)
+	wait(t, "the repeat", dials)
+	status := wait(t, "the answer", answered)
+	if took := time.Since(began); status != http.StatusServiceUnavailable || took > 10*time.Second {
+		t.Errorf("answered %d after %v", status, took)
+	}
+	close(held)
+	wait(t, "the late connection ends", ended)
+	if len(came) != 1 {
+		t.Fatalf("%d attempts arrived, the repeat after its window", len(came))
+	}
+}
+
+// slowWrites is a connection to which a part of a request goes, and the rest only after a wait
+// that heeds the deadline for it, as the system's does when its peer does not read.
+type slowWrites struct {
+	net.Conn
+	until chan time.Time
+}
+
+func (c slowWrites) SetWriteDeadline(t time.Time) error {
+	c.until <- t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// The last byte of a repeat is out by the end of the window, or never: the write is bounded, and
+// the connection serves a request without a window afterwards.
+func TestRepeatIsWrittenWithinItsWindow(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, okAnswer)
+		}
+	})
+	d := newDialer()
+	plain, bounds := d.connect, make(chan time.Time, 10)
+	d.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := plain(ctx, network, addr)
+		return slowWrites{c, bounds}, err
+	}
+	tr := d.newTransport()
+	defer tr.CloseIdleConnections()
+	by := time.Now().Add(never)
+	for _, want := range []time.Time{by, {}} {
+		a := newAttempt(tr, addr, http.MethodPost, never)
+		a.by = want
+		if res := a.run(); res.status != policy.OK {
+			t.Fatalf("ended %d", res.status)
+		}
+		if got := wait(t, "the bound", bounds); !got.Equal(want) {
+			t.Fatalf("the write was bounded by %v, want %v", got, want)
+		}
+	}
+}
+
+// What a backend sends behind an answer is told from the next one's also where it comes a little
+// later, and where the answer's end is in its chunks.
+func TestLateSurplusIsNoAnswer(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\ndo\r\n2\r\nne\r\n0\r\nX: y\r\n\r\n"
+	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+	for name, first := range map[string]string{"length": okAnswer, "chunks": chunked} {
+		for _, late := range []time.Duration{0, 5 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, late), func(t *testing.T) {
+				addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+					for n := 0; ; n++ {
+						if _, err := readRequest(r); err != nil {
+							return
+						}
+						if n > 0 {
+							io.WriteString(c, okAnswer)
+							continue
+						}
+						if late == 0 {
+							io.WriteString(c, first+stray)
+							continue
+						}
+						io.WriteString(c, first)
+						time.Sleep(late)
+						io.WriteString(c, stray)
+					}
+				})
+				tr := newDialer().newTransport()
+				defer tr.CloseIdleConnections()
+				for i := range 10 {
+					res := newAttempt(tr, addr, http.MethodPost, never).run()
+					if res.status == policy.OK && string(res.body) != "done" {
+						t.Fatalf("attempt %d was answered %q", i, res.body)
+					}
+				}
+			})
+		}
+	}
+}
+
+// A connection with an answer in chunks is kept, and its bytes counted right in any pieces.
+func TestChunksInPieces(t *testing.T) {
+	text := "HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n"
+	for size := 1; size <= len(text); size++ {
+		var f framing
+		f.begin()
+		for rest := text + "S"; len(rest) > 0; {
+			n := min(size, len(rest))
+			took := f.scan([]byte(rest[:n]))
+			if rest = rest[n:]; took < n != (len(rest) == 0) || f.over != (len(rest) == 0) {
+				t.Fatalf("pieces of %d: took %d of %d, over %v, %d left", size, took, n, f.over, len(rest))
+			}
+		}
+	}
+	var f framing
+	f.begin()
+	f.scan([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"))
+	if !f.surplus() {
+		t.Fatal("a chunk without a size has an end")
+	}
+}
+
+// dialled counts the connections that a dialer made.
+func dialled(d *dialer) *int {
+	n, plain := new(int), d.connect
+	d.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		*n++
+		return plain(ctx, network, addr)
+	}
+	return n
+}
+
+func TestChunkedAnswerKeepsItsConnection(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := readRequest(r); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n")
+		}
+	})
+	d := newDialer()
+	n := dialled(d)
+	tr := d.newTransport()
+	defer tr.CloseIdleConnections()
+	for range 3 {
+		if res := newAttempt(tr, addr, http.MethodPost, never).run(); res.status != policy.OK || !strings.HasPrefix(string(res.body), "done") {
+			t.Fatalf("ended %d %q", res.status, res.body)
+		}
+	}
+	if *n != 1 {
+		t.Fatalf("%d connections for three answers", *n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -260,7 +260,7 @@
 		if b.set.Classes[r.class].LateShare > 0 {
 			last = r.deadline
 		}
-		if b.now+b.expected(r) > last || b.now >= r.deadline {
+		if b.now+b.expected(r) > last || b.now >= r.deadline || b.windowLeft(r) <= 0 {
 			b.end(r)
 			continue
 		}
@@ -460,20 +460,33 @@
 	case Free:
 		return true
 	case Guarded:
-		if b.now-r.ranAt > c.KeyTTLMs-2*b.set.RoundMs {
-			return false
-		}
-		return c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
+		same := c.Group == GroupAll || c.Group == GroupZone && s.zone == r.ranOn.zone ||
 			c.Group == GroupCell && s.cell == r.ranOn.cell
+		return same && b.windowLeft(r) > 0
 	}
 	return false
 }
 
+// windowLeft is the time in which a repeat of a keyed request has to arrive to be dropped, or
+// without bound where it is no repeat.
+func (b *Balancer) windowLeft(r *request) float64 {
+	c := &b.set.Classes[r.class]
+	if r.risky == 0 || c.Effect != Guarded {
+		return math.Inf(1)
+	}
+	return r.ranAt + c.KeyTTLMs - 2*b.set.RoundMs - b.now
+}
+
 func (b *Balancer) send(r *request, s *server) bool {
 	if !b.maySend(r, s) {
 		return false
 	}
-	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now, cost: b.cost(r)}
+	by := b.windowLeft(r)
+	if math.IsInf(by, 1) {
+		by = 0
+	}
+	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now,
+		cost: b.cost(r)}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky == 0 {
@@ -490,7 +503,7 @@
 	if b.ramp(s) < 1 {
 		s.credit -= a.cost
 	}
-	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
+	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now, ByMs: by})
 	return true
 }
 
@@ -604,7 +617,8 @@
 func (b *Balancer) further(r *request, why Status) {
 	c := &b.set.Classes[r.class]
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
-	if !able || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot || b.now >= r.deadline {
+	if !able || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot || b.now >= r.deadline ||
+		b.windowLeft(r) <= 0 {
 		b.end(r)
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -245,6 +245,59 @@
 	}
 }
 
+// A repeat says until when its last byte has to be out for the window of the first attempt to
+// cover its arrival; one whose window is over is answered at once, not held to its deadline.
+func TestRepeatSaysUntilWhenItMayGo(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	id, actions := r.ask(2, 5)
+	first := find(actions, ActSend)
+	if first == nil || first.ByMs != 0 {
+		t.Fatalf("the first attempt has an end: %+v", first)
+	}
+	r.now += 200
+	a := find(r.outcome(id, 0, first.Server, Error, 20), ActSend)
+	if want := 500 - 200 - 2*5.0; a == nil || a.ByMs != want {
+		t.Fatalf("the repeat may go until %+v, want %.0f ms", a, want)
+	}
+	r.now += 50
+	if a = find(r.outcome(id, 1, a.Server, ConnectFailed, 20), ActSend); a == nil || a.ByMs != 240 {
+		t.Fatalf("one after a connect that failed may go until %+v, want 240 ms", a)
+	}
+	r.now += 240
+	if actions = r.outcome(id, 2, a.Server, ConnectFailed, 20); find(actions, ActFail) == nil {
+		t.Fatalf("not answered when the window was over: %+v", actions)
+	}
+	// What never ran has no window: the first that may have run begins it.
+	r = newRig(t, testSettings(), 6)
+	id, actions = r.ask(2, 6)
+	first = find(actions, ActSend)
+	r.now += 100
+	if a = find(r.outcome(id, 0, first.Server, ConnectFailed, 20), ActSend); a == nil || a.ByMs != 0 {
+		t.Fatalf("after an attempt that never ran: %+v", a)
+	}
+	// One that is held for room ends with its window, too.
+	set := testSettings()
+	set.Classes[2].KeyTTLMs = 100
+	r = newRig(t, set, 6)
+	id, actions = r.ask(2, 5)
+	first = find(actions, ActSend)
+	cell := r.b.byAddr[first.Server].cell
+	for i := range 6 {
+		if i%2 == cell {
+			r.list(ListDelta, Entry{Server: addr(i), Health: Draining, Weight: 1, Cell: cell, Zone: cell})
+		}
+	}
+	if actions = r.outcome(id, 0, first.Server, Error, 20); find(actions, ActSend) != nil || len(r.b.held) != 1 {
+		t.Fatalf("not held: %+v", actions)
+	}
+	if find(r.tick(89), ActFail) != nil {
+		t.Fatal("given up within its window")
+	}
+	if find(r.tick(1), ActFail) == nil {
+		t.Fatal("held beyond its window")
+	}
+}
+
 func TestDrainingAndGoneGetNothing(t *testing.T) {
 	r := newRig(t, testSettings(), 2)
 	r.list(ListDelta, Entry{Server: addr(0), Health: Draining, Weight: 1})
--- a/policy/types.go
+++ b/policy/types.go
@@ -231,7 +231,7 @@
 
 // The actions.
 const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out
+	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out, ByMs
 	ActCancel                       // Request, Attempt
 	ActRefuse                       // Request, Ms: advice
 	ActFail                         // Request
@@ -250,6 +250,7 @@
 	Server  Addr
 	Attempt int
 	Ms      float64
+	ByMs    float64 // until its last byte must be out, else it must not go; 0: whenever
 	Token   uint32
 	Text    string
 }
