Start with a malformed list at hand, and be ready without any after 2 s

Need: nine in ten restarted processes ready within 10 s, also with an empty or malformed list at hand while discovery is away. Seen: one bad entry in 'known' ended the start, and without a usable backend /ready said 503 until discovery returned.

After 2 s /ready says 200 in any case: without a backend requests are refused at once.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -60,6 +60,9 @@
 			a.Reconfigure(conf)
 		}
 	}()
+	if conf.BadKnown != nil {
+		log.Warn("a part of the list at hand was left out", "err", conf.BadKnown)
+	}
 	log.Info("started", "listen", conf.Listen, "backends", len(conf.Known.Hosts))
 	if err := a.Serve(ctx, ln); err != nil {
 		return err
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -35,6 +35,9 @@
 	// idleWait is how long a connection without a request keeps its place: no shorter than
 	// clients may rely on, as no place is left for others while idle ones hold them all.
 	idleWait = 2100 * time.Millisecond
+	// readyWithin is when a new process says that it is ready at the latest: one that knows no
+	// backend refuses at once, which tells its clients more than waiting for discovery does.
+	readyWithin = 2 * time.Second
 	// writeWait is how long a client may take to read its answer.
 	writeWait = 2 * time.Second
 	// maxTimeout is the longest deadline there is, with room to spare.
@@ -226,7 +229,8 @@
 }
 
 func (a *Agent) serveReady(w http.ResponseWriter) {
-	if a.leaving.Load() || !a.loop.ready.Load() {
+	late := time.Since(a.loop.base) >= readyWithin
+	if a.leaving.Load() || !a.loop.ready.Load() && !late {
 		a.write(w, http.StatusServiceUnavailable, "text/plain", []byte("no backend to send to\n"))
 		return
 	}
