Show that fleets of 5, 20 and 30 keep a cold server's budget of N + 2 root N + 2

Change: a test plays that many instances of the module, with unlike traffic and seeds of their own, against servers of which one, half or all but two are cold: lists learnt together, lulls and bursts, agents restarted one by one and all at once, servers that fall silent, fail or are full meanwhile. Three deployments' figures of cold servers, six seeds each. Nothing had to be changed: the first credit is a random part of a call already.

--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,314 @@
+package policy
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// coldFleet plays many agents, each with a module of its own, against servers of which one or
+// more are cold. It knows what a cold server can do at any moment, which the agents don't, and
+// counts what all of them send it.
+type coldFleet struct {
+	rng     *rand.Rand
+	set     Settings
+	agents  []*coldAgent
+	servers int
+	cold    map[Addr]float64 // when it started
+	queue   coldQueue
+	now     float64
+	sent    map[Addr][]coldSend // to cold ones
+	full    float64             // requests a warm server can serve in a ms
+	fails   func(a Addr, now float64) Status
+	nextID  RequestID
+}
+
+type coldAgent struct {
+	b    *Balancer
+	rate float64       // requests a ms
+	told map[Addr]bool // of the starts
+}
+
+type coldSend struct {
+	at   float64
+	told bool // its agent knew of the start
+}
+
+type coldEvent struct {
+	at float64
+	do func()
+}
+
+type coldQueue []coldEvent
+
+func (q coldQueue) Len() int           { return len(q) }
+func (q coldQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q coldQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *coldQueue) Push(x any)        { *q = append(*q, x.(coldEvent)) }
+func (q *coldQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (f *coldFleet) after(ms float64, do func()) { heap.Push(&f.queue, coldEvent{f.now + ms, do}) }
+
+func (f *coldFleet) run(to float64) {
+	for len(f.queue) > 0 && f.queue[0].at <= to {
+		e := heap.Pop(&f.queue).(coldEvent)
+		f.now = e.at
+		e.do()
+	}
+	f.now = to
+}
+
+func newColdFleet(t *testing.T, seed uint64, agents, servers int, load float64, set Settings) *coldFleet {
+	f := &coldFleet{rng: rand.New(rand.NewPCG(seed, 1)), set: set, servers: servers, now: 1e6,
+		cold: map[Addr]float64{}, sent: map[Addr][]coldSend{}, full: 0.012,
+		fails: func(Addr, float64) Status { return OK }}
+	f.set.Replicas = agents
+	total := 0.0
+	for i := range agents {
+		f.agents = append(f.agents, &coldAgent{told: map[Addr]bool{}, rate: 0.2 + f.rng.ExpFloat64()})
+		total += f.agents[i].rate
+	}
+	for i, a := range f.agents {
+		a.rate *= load * f.full * float64(servers) / total
+		f.restart(t, i)
+		f.after(f.rng.ExpFloat64()/a.rate, func() { f.request(a) })
+	}
+	return f
+}
+
+// restart gives an agent a new process, which has the list as it is.
+func (f *coldFleet) restart(t *testing.T, i int) {
+	set := f.set
+	set.Index = i
+	b, err := New(set, f.rng.Uint64())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.agents[i].b = b
+	f.act(f.agents[i], b, b.Start(f.now, nil))
+	for s := range f.cold {
+		f.agents[i].told[s] = true
+	}
+	entries := make([]Entry, f.servers)
+	for s := range entries {
+		entries[s] = Entry{Server: addr(s), Health: Ready, Weight: 1, SinceMs: f.cold[addr(s)]}
+	}
+	f.act(f.agents[i], b, b.Handle(f.now, &Event{Kind: EvList, List: ListCached, Entries: entries}, nil))
+}
+
+// begin lets a server start anew, which all agents learn within so long.
+func (f *coldFleet) begin(s int, within float64) {
+	f.cold[addr(s)] = f.now
+	e := Entry{Server: addr(s), Health: Ready, Weight: 1, SinceMs: f.now}
+	for _, a := range f.agents {
+		f.after(f.rng.Float64()*within, func() {
+			a.told[addr(s)] = true
+			f.act(a, a.b, a.b.Handle(f.now, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{e}}, nil))
+		})
+	}
+}
+
+func (f *coldFleet) request(a *coldAgent) {
+	f.nextID++
+	// Some keys are asked for far more often than the rest.
+	key := 1 + uint64(math.Pow(f.rng.Float64(), 3)*1000)
+	f.act(a, a.b, a.b.Handle(f.now, &Event{Kind: EvRequest, Request: f.nextID, Class: 0, Key: key, LeftMs: 5000}, nil))
+	f.after(f.rng.ExpFloat64()/a.rate, func() { f.request(a) })
+}
+
+func (f *coldFleet) act(a *coldAgent, b *Balancer, actions []Action) {
+	for _, act := range actions {
+		switch act.Kind {
+		case ActTimer:
+			f.after(act.Ms, func() { f.tell(a, b, Event{Kind: EvTimer, Token: act.Token}) })
+		case ActSend:
+			f.send(a, b, act)
+		case ActProbe:
+			f.after(2, func() { f.tell(a, b, Event{Kind: EvProbed, Server: act.Server, Status: OK}) })
+		}
+	}
+}
+
+// tell tells an agent's process something, if it still is the one.
+func (f *coldFleet) tell(a *coldAgent, b *Balancer, ev Event) {
+	if a.b == b {
+		f.act(a, b, b.Handle(f.now, &ev, nil))
+	}
+}
+
+func (f *coldFleet) send(a *coldAgent, b *Balancer, act Action) {
+	took, status := 20+f.rng.ExpFloat64()*60, f.fails(act.Server, f.now)
+	if since, ok := f.cold[act.Server]; ok {
+		f.sent[act.Server] = append(f.sent[act.Server], coldSend{f.now, a.told[act.Server]})
+		took /= f.ramp(f.now - since)
+	}
+	if status != OK {
+		took = 5
+	}
+	attempt := 0
+	if r := b.requests[act.Request]; r != nil {
+		attempt = len(r.attempts) - 1
+	}
+	f.after(took, func() {
+		f.tell(a, b, Event{Kind: EvOutcome, Request: act.Request, Attempt: attempt, Server: act.Server,
+			Status: status, LatencyMs: took, Final: status == OK})
+	})
+}
+
+func (f *coldFleet) ramp(age float64) float64 {
+	return min(f.set.Contract.ColdFrom+(1-f.set.Contract.ColdFrom)*age/f.set.Contract.ColdMs, 1)
+}
+
+// worst is how many calls beyond N the cold servers got in the worst window, as a part of what
+// is given to chance: over 1 is a fall. One of which a third came from agents that knew nothing
+// of the start is not theirs.
+func (f *coldFleet) worst() (worst float64, where string) {
+	c := f.set.Contract
+	for s, sends := range f.sent {
+		for i, first := range sends {
+			calls, told := 0, 0
+			for _, x := range sends[i:] {
+				if x.at > first.at+c.TipAfterMs {
+					break
+				}
+				if calls++; x.told {
+					told++
+				}
+			}
+			age := first.at - f.cold[s]
+			n := c.FallMultiple * f.ramp(age) * f.full * c.TipAfterMs
+			if x := (float64(calls) - n) / (2*math.Sqrt(n) + 2); x > worst && 3*told > 2*calls {
+				worst = x
+				where = fmt.Sprintf("%d calls, %d of them told, in %.0f ms, %.1f s after the start, N %.1f",
+					calls, told, c.TipAfterMs, age/1000, n)
+			}
+		}
+	}
+	return worst, where
+}
+
+// What all agents together send a cold server stays within what it can bear at any moment,
+// N calls and 2 root N + 2 for chance, also where one free call of each would be over it.
+func TestColdServersBudgetOfTheFleet(t *testing.T) {
+	for _, deploy := range []struct {
+		name string
+		c    Contract
+	}{
+		{"wide", Contract{ColdFrom: 0.13, ColdMs: 24000, FallMultiple: 4, TipAfterMs: 1000}},
+		{"narrow", Contract{ColdFrom: 0.2, ColdMs: 9000, FallMultiple: 2.5, TipAfterMs: 800}},
+		{"long", Contract{ColdFrom: 0.34, ColdMs: 9000, FallMultiple: 3, TipAfterMs: 3000}},
+	} {
+		for _, agents := range []int{5, 20, 30} {
+			for name, trouble := range map[string]func(f *coldFleet){
+				"start": func(f *coldFleet) { f.begin(0, 50) },
+				"start in a lull": func(f *coldFleet) {
+					f.load(0.2)
+					f.begin(0, 50)
+					f.after(6000, func() { f.load(8) })
+				},
+				"half start at once": func(f *coldFleet) {
+					for s := range f.servers / 2 {
+						f.begin(s, 50)
+					}
+				},
+				"all but two start": func(f *coldFleet) {
+					for s := range f.servers - 2 {
+						f.begin(s, 1000)
+					}
+				},
+				"half start": func(f *coldFleet) {
+					for s := range f.servers / 2 {
+						f.begin(s, 3000)
+					}
+				},
+				"restarts in the ramp": func(f *coldFleet) {
+					f.begin(0, 50)
+					for i := range f.agents {
+						f.after(1000+f.rng.Float64()*4000, func() { f.restart(t, i) })
+					}
+				},
+				"all restart at once in the ramp, in a burst": func(f *coldFleet) {
+					f.begin(0, 50)
+					f.after(1500, func() {
+						f.load(6)
+						for i := range f.agents {
+							f.restart(t, i)
+						}
+					})
+				},
+				"silent in the ramp": func(f *coldFleet) {
+					f.begin(0, 50)
+					from, to := f.now+1000, f.now+3500
+					f.fails = func(a Addr, now float64) Status {
+						if a == addr(0) && now > from && now < to {
+							return ConnectFailed
+						}
+						return OK
+					}
+				},
+				"the warm ones fail": func(f *coldFleet) {
+					f.begin(0, 50)
+					from, to := f.now+1500, f.now+4000
+					f.fails = func(a Addr, now float64) Status {
+						if a != addr(0) && now > from && now < to && a[3]%2 == 0 {
+							return Error
+						}
+						return OK
+					}
+				},
+				"the warm ones are full": func(f *coldFleet) {
+					f.begin(0, 50)
+					from, to := f.now+1500, f.now+4000
+					f.fails = func(a Addr, now float64) Status {
+						if a != addr(0) && now > from && now < to {
+							return Full
+						}
+						return OK
+					}
+				},
+			} {
+				t.Run(fmt.Sprint(deploy.name, "/", agents, "/", name), func(t *testing.T) {
+					t.Parallel()
+					var worst []float64
+					at := ""
+					for seed := range uint64(6) {
+						set := testSettings()
+						set.Contract = deploy.c
+						set.Contract.AskWithinMs, set.Contract.DrainGraceMs = 8000, 500
+						set.Classes[0].AimMs, set.Classes[0].GiveUpMs = 1200, 5000
+						set.Limits.KeepaliveMs, set.Limits.MaxAttempts = 30000, 6
+						f := newColdFleet(t, seed, agents, 14, 0.75, set)
+						f.run(f.now + 15000)
+						trouble(f)
+						f.run(f.now + deploy.c.ColdMs)
+						x, where := f.worst()
+						if len(worst) == 0 || x > slices.Max(worst) {
+							at = fmt.Sprintf("seed %d: %s", seed, where)
+						}
+						worst = append(worst, x)
+					}
+					slices.Sort(worst)
+					t.Logf("parts of the slack used: median %.2f, most %.2f (%s)", worst[len(worst)/2], worst[len(worst)-1], at)
+					if worst[len(worst)-1] > 1 {
+						t.Errorf("a cold server fell: %s", at)
+					}
+				})
+			}
+		}
+	}
+}
+
+// load changes how much comes.
+func (f *coldFleet) load(by float64) {
+	for _, a := range f.agents {
+		a.rate *= by
+	}
+}
