Watch pushed lists from a process's first moment, and repeat a first call that failed

Ruled out: watches that were open when the drains were listed had them in time.

Change: where lists are pushed the loop opens the watch at the start. A first call that failed is repeated within a second also while the time of the module's own first call is still to come; a time that was taken back does nothing when it comes. Tests let the clock pass to the times that they are told.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -257,6 +257,7 @@
 		t.Fatal(err)
 	}
 	defer a.stop() // the loop does not run
+	a.loop.unwatched()
 	req := call("", "order")
 	req.Header.Set("Request-Timeout", "20m")
 	rec := httptest.NewRecorder()
@@ -494,9 +495,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	l.unwatched()
 	return l
 }
 
+// unwatched takes away the watch of a loop that does not run yet, for tests that look at all
+// that it is told.
+func (l *loop) unwatched() {
+	if l.watching {
+		l.leaveOff()
+		<-l.in
+	}
+}
+
+// pass lets time pass for a loop that a test drives by hand.
+func (l *loop) pass(d time.Duration) { l.base = l.base.Add(-d) }
+
 func list(seq int64, whole bool, hosts ...endpoints.Host) endpoints.List {
 	return endpoints.List{Seq: seq, Whole: whole, Hosts: hosts}
 }
@@ -542,6 +556,7 @@
 	}
 	const followToken = 2     // of the module's time to ask again: one is set at a time
 	ended := func() float64 { // and the wait until the next watch
+		l.pass(10 * time.Second)
 		l.handle(input{kind: inTimer, token: followToken})
 		l.handle(input{kind: inWatchEnded, err: io.EOF})
 		for _, act := range l.actions {
--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	a.loop.unwatched()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -124,7 +124,8 @@
 	if most := openRequests(c.Limits.Sockets); set.Limits.OpenCap <= 0 || set.Limits.OpenCap > most {
 		set.Limits.OpenCap = most
 	}
-	if set.Membership == pushed {
+	unasked := set.Membership == pushed
+	if unasked {
 		// Over HTTP what is pushed comes on a watch as well, and one that breaks has to be
 		// opened anew: to the module the list is one that it asks for.
 		set.Membership = onRequest
@@ -162,6 +163,9 @@
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
 	l.learn(policy.ListCached, &c.Known)
+	if unasked { // what is pushed counts as told from the first moment of a process
+		l.follow()
+	}
 	return l, nil
 }
 
@@ -306,6 +310,11 @@
 	}
 	// Nothing failed there yet: calls that fail from now on are repeated as the first ones.
 	l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListDelta})
+	l.follow()
+}
+
+// follow opens the watch, if there is none.
+func (l *loop) follow() {
 	if !l.watching {
 		l.watching = true
 		go l.disc.watch(l.discCtx, l.seq)
@@ -422,10 +431,7 @@
 			token := act.Token
 			time.AfterFunc(ms(act.Ms), func() { l.post(input{kind: inTimer, token: token}) })
 		case policy.ActFollow:
-			if !l.watching {
-				l.watching = true
-				go l.disc.watch(l.discCtx, l.seq)
-			}
+			l.follow()
 		case policy.ActFetch:
 			if !l.fetching {
 				l.fetching = true
--- a/internal/agent/told_test.go
+++ b/internal/agent/told_test.go
@@ -40,7 +40,9 @@
 	good, came := counted(t, 200, false)
 	disco, asked := lists(t, open(2, host(0, old, "draining"), host(1, good, "ready")))
 	conf := config(disco, old)
-	conf["settings"].(map[string]any)["contract"].(map[string]any)["askWithinMs"] = 0
+	set := conf["settings"].(map[string]any)
+	set["contract"].(map[string]any)["askWithinMs"], set["replicasOfMe"] = 0, 300
+	began := time.Now()
 	_, base, _, _ := start(t, conf)
 	select {
 	case q := <-asked:
@@ -50,6 +52,9 @@
 	case <-time.After(20 * time.Second):
 		t.Fatal("not asked")
 	}
+	if took := time.Since(began); took > 200*time.Millisecond {
+		t.Fatalf("asked after %v, where it counts as told from the first moment", took)
+	}
 	for end := time.Now().Add(20 * time.Second); len(came) == 0; { // until the list is taken
 		if do(t, call(base, "order")); time.Now().After(end) {
 			t.Fatal("never told of the drain")
@@ -81,6 +86,7 @@
 		return ms
 	}
 	fail := func() float64 {
+		l.pass(10 * time.Second)
 		l.handle(input{kind: inTimer, token: followToken})
 		l.handle(input{kind: inWatchEnded, from: l.disc, err: errSurplus})
 		return waits()
@@ -91,6 +97,7 @@
 	if before := fail(); before < 1200 {
 		t.Fatalf("asks again after %.0f ms though many calls failed", before)
 	}
+	l.pass(10 * time.Second)
 	l.handle(input{kind: inTimer, token: followToken})
 	l.handle(input{kind: inMoved, addrs: []string{"127.0.0.1:2"}})
 	if !l.watching {
--- a/policy/list.go
+++ b/policy/list.go
@@ -34,14 +34,15 @@
 // many calls fail.
 func (b *Balancer) followIn(wait float64) {
 	if !b.following {
-		b.following = true
+		b.following, b.followDue = true, b.now+wait
 		b.do(Action{Kind: ActTimer, Ms: wait, Token: followToken})
 	}
 }
 
-// follow asks for the subscription when its time has come.
+// follow asks for the subscription when its time has come; one that was set before and taken
+// back finds it still to come, or over.
 func (b *Balancer) follow() {
-	if b.following {
+	if b.following && b.now >= b.followDue-1 {
 		b.following, b.followed, b.followAt = false, false, b.now
 		b.do(Action{Kind: ActFollow})
 	}
@@ -57,6 +58,9 @@
 // A call that was given up late is repeated the sooner.
 func (b *Balancer) followAgain() {
 	b.follows++
+	if b.follows == 1 {
+		b.following = false // the time of the first call is of no use any more
+	}
 	ask, u := b.set.Contract.AskWithinMs/5, b.rng.Float64()
 	wait := min(1000, ask) * (1 + u) / 2
 	if b.follows > 1 { // the first may have been the agent's own bad luck
@@ -90,7 +94,7 @@
 		return
 	}
 	if ev.List == ListCached && len(ev.Entries) == 0 && b.following {
-		b.following = false // the time that is set will find nothing to do
+		b.following = false
 		b.followIn(b.rng.Float64() * emptyWithin * min(b.askers(), 4))
 	}
 	b.follows, b.followed = 0, true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -737,15 +737,20 @@
 	if find(b.Handle(first.Ms, &Event{Kind: EvTimer, Token: first.Token}, nil), ActFollow) == nil {
 		t.Fatal("the timer did not subscribe")
 	}
+	now := first.Ms
 	for range 8 {
-		again := find(b.Handle(first.Ms, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+		again := find(b.Handle(now, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
 		if again == nil || again.Ms > set.Contract.AskWithinMs {
 			t.Fatalf("a failed call was not repeated in the contract's time: %+v", again)
 		}
-		if second := find(b.Handle(first.Ms, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer); second != nil {
+		if second := find(b.Handle(now, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer); second != nil {
 			t.Fatalf("two times are set to ask again: %+v, %+v", again, second)
 		}
-		if find(b.Handle(first.Ms, &Event{Kind: EvTimer, Token: again.Token}, nil), ActFollow) == nil {
+		now += again.Ms // its time has come, and not before
+		if find(b.Handle(now-2, &Event{Kind: EvTimer, Token: again.Token}, nil), ActFollow) != nil {
+			t.Fatal("subscribed before its time")
+		}
+		if find(b.Handle(now, &Event{Kind: EvTimer, Token: again.Token}, nil), ActFollow) == nil {
 			t.Fatal("the timer did not subscribe again")
 		}
 	}
@@ -757,12 +762,14 @@
 	set := testSettings()
 	set.Membership = "on_request"
 	r := newRig(t, set, 1)
+	r.now += 10000
 	r.do(Event{Kind: EvTimer, Token: followToken})
 	for range 20 {
 		again := find(r.list(ListFailed), ActTimer)
 		if again == nil || again.Token != followToken || again.Ms > set.Contract.AskWithinMs/5 {
 			t.Fatalf("asked again too late: %+v", again)
 		}
+		r.now += again.Ms
 		r.do(Event{Kind: EvTimer, Token: followToken})
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -146,6 +146,7 @@
 	lookedAt   float64 // last fetch of the list
 	follows    int     // failed calls in a row
 	following  bool    // a time is set to ask for the subscription
+	followDue  float64 // which is then
 	followed   bool    // and was granted since it was last asked for,
 	followAt   float64 // which was then
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
