Take a server for restarted after three connects failed in a row, not after one

Suspected: an answer more than a second after one failed connect made the server count as started anew, and it got a cold one's share for its whole ramp.

Change: three connects, of attempts or probes, have to fail in a row over more than the stated time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,6 +53,8 @@
 	leastServers = 16
 	// maxHeld bounds the requests held for room, and so the work of a decision.
 	maxHeld = 512
+	// lostConnects is how many connects have to fail in a row for a new process to be likely.
+	lostConnects = 3
 	// coldBurst bounds what a cold server's credit saves up: all may spend it at once.
 	coldBurst = 1.0
 	// coldMargin is what an even share may cost a cold server, in its present capacity:
@@ -636,10 +638,8 @@
 		s.heard = b.now
 		b.demote(s, false)
 	case ConnectFailed:
+		b.noteLost(s)
 		b.demote(s, true)
-		if s.lostAt == 0 {
-			s.lostAt = b.now
-		}
 	case Timeout:
 		// A server that answered others meanwhile is not to blame for a costly
 		// request; it counts as slow.
@@ -754,14 +754,24 @@
 	return slowSmooth / 250
 }
 
+// noteLost notes a connect that failed.
+func (b *Balancer) noteLost(s *server) {
+	if s.lost == 0 {
+		s.lostAt = b.now
+	}
+	s.lost++
+	s.lostFor = b.now - s.lostAt
+}
+
 // heardFrom notes an answer. A server that no connect reached for long may be a new
 // process, cold and not yet listed: it is ramped as if it had started now. Time-outs
-// alone don't tell: crowded servers would be left to idle (i228a10).
+// alone don't tell: crowded servers would be left to idle (i228a10). Nor does a connect or
+// two: where one in three comes up late, all servers would be taken for cold by turns.
 func (b *Balancer) heardFrom(s *server) {
-	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
+	if s.lost >= lostConnects && s.lostFor > b.set.Contract.TipAfterMs {
 		s.startedAt, s.window, s.credit = b.now, 1, b.rng.Float64()
 	}
-	s.heard, s.lostAt = b.now, 0
+	s.heard, s.lost = b.now, 0
 }
 
 func (b *Balancer) learn(s *server, x float64) {
@@ -865,6 +875,9 @@
 		s.heard = b.now
 		b.demote(s, false)
 	case ev.Status != Full:
+		if ev.Status == ConnectFailed {
+			b.noteLost(s)
+		}
 		b.demote(s, true)
 		b.takeBack(s)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,7 +23,9 @@
 	since     float64 // when the state was entered
 	choked    bool    // found crowded, and not at rest since
 	silent    bool    // demoted for silence, not for an answer
-	lostAt    float64 // first failed connect since it last answered; 0: none
+	lost      int     // connects that failed since it last answered
+	lostAt    float64 // the first of them
+	lostFor   float64 // from that to the last
 	strikes   int     // how often it failed of late; sets the hold
 	good      int     // served since the last change of strikes
 	probing   bool
