Test the endings of discovery's calls, signals that cross and full descriptors

Nine ways in which a call for the list fails, with and without a new address in the midst, after nine seconds of it and with 300 agents' waits: what discovery has is written within 5 s of its return. SIGTERM and SIGHUP in four orders with a request out, SIGTERM before readiness, and a process with 64 descriptors that idle clients fill while discovery is away.

--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -172,3 +172,166 @@
 		t.Fatalf("after SIGTERM: %v; it said %s", err, out)
 	}
 }
+
+// What may come in any order: two SIGTERMs, SIGHUP and SIGTERM, SIGTERM before the program is
+// ready and while a request is out. It ends in order each time, and the request is answered.
+func TestSignalsCross(t *testing.T) {
+	for name, signals := range map[string][]syscall.Signal{
+		"twice":           {syscall.SIGTERM, syscall.SIGTERM},
+		"reconfigured":    {syscall.SIGHUP, syscall.SIGTERM},
+		"and configured":  {syscall.SIGTERM, syscall.SIGHUP},
+		"again and again": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			came, release := make(chan struct{}, 10), make(chan struct{})
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				came <- struct{}{}
+				<-release
+				fmt.Fprint(w, "done")
+			}))
+			defer backend.Close()
+			listen := freeAddr(t)
+			cmd, out := child(t, programConfig(listen, "127.0.0.1:1", backend.Listener.Addr().String(), 1024))
+			waitReady(t, listen, out)
+			answered := make(chan string, 1)
+			go func() {
+				status, err := askOnce(listen)
+				answered <- fmt.Sprint(status, err)
+			}()
+			<-came
+			for _, s := range signals {
+				if err := cmd.Process.Signal(s); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(100 * time.Millisecond) // both are taken, and the request is still out
+			close(release)
+			if got := <-answered; got != "200 <nil>" {
+				t.Errorf("answered %s; it said %s", got, out)
+			}
+			if err := cmd.Wait(); err != nil {
+				t.Errorf("ended with %v; it said %s", err, out)
+			}
+		})
+	}
+}
+
+// A SIGTERM that comes before the program can be ready ends it in order.
+func TestSignalBeforeReady(t *testing.T) {
+	listen := freeAddr(t)
+	cmd, out := child(t, programConfig(listen, "127.0.0.1:1", "", 1024))
+	for tries := 0; ; tries++ {
+		c, err := net.Dial("tcp", listen)
+		if err == nil {
+			defer c.Close()
+			break
+		}
+		if tries > 3000 {
+			t.Fatalf("does not listen; it said %s", out)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("ended with %v; it said %s", err, out)
+	}
+}
+
+// Idle clients fill all descriptors that the program may have while discovery is away: it gets
+// ready, serves who asks, hears of discovery's return and connects to the servers listed then.
+func TestDescriptorsFull(t *testing.T) {
+	const files = 64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "done") }))
+	defer backend.Close()
+	disco, listen := freeAddr(t), freeAddr(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(programConfig(listen, disco, "", files)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd, out := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", files, exe)), &bytes.Buffer{}
+	cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path)
+	cmd.Stderr = out
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	idle := func() {
+		for range 2 * files {
+			if c, err := net.DialTimeout("tcp", listen, time.Second); err == nil {
+				t.Cleanup(func() { c.Close() })
+			}
+		}
+	}
+	began := time.Now()
+	for tries := 0; tries < 3000; tries++ {
+		if c, err := net.Dial("tcp", listen); err == nil {
+			c.Close()
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	idle()
+	waitReady(t, listen, out)
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	ln, err := net.Listen("tcp", disco)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"seq":1,"whole":true,"hosts":[{"host":"s-1","dial":%q,"site":"a","class":"k","health":"ready","share":1}]}`+"\n",
+			backend.Listener.Addr().String())
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	idle()
+	for end := time.Now().Add(6 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		status, err := askOnce(listen)
+		if status == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("6 s after discovery's return: %d, %v; it said %s", status, err, out)
+		}
+	}
+	for i := range 100 {
+		if status, err := askOnce(listen); status != http.StatusOK {
+			t.Fatalf("request %d: %d, %v; it said %s", i, status, err, out)
+		}
+	}
+}
+
+// programConfig is a whole configuration, with one backend in the list at hand or none.
+func programConfig(listen, discovery, backend string, sockets int) string {
+	hosts := ""
+	if backend != "" {
+		hosts = fmt.Sprintf(`{"host":"s-1","dial":%q,"site":"a","class":"k","health":"ready","share":1}`, backend)
+	}
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":%d},
+ "settings":%s,"known":{"seq":1,"whole":true,"hosts":[%s]}}`, listen, discovery, sockets, settings, hosts)
+}
+
+// askOnce sends one request on a connection of its own.
+func askOnce(listen string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Request-Id", "1")
+	req.Header.Set("Request-Timeout", "3000m")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
--- a/internal/agent/told_test.go
+++ b/internal/agent/told_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -108,3 +110,84 @@
 		t.Fatalf("asks the new address again after %.0f ms", after)
 	}
 }
+
+// Whatever ended the calls before, what discovery has to tell is heard within 6 s of the moment
+// from which it answers well again: with refusals, resets, silence at every place, answers that
+// trickle or never end, and a new configuration in the midst of it.
+func TestToldWithinSixSeconds(t *testing.T) {
+	silent := func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	write := func(w http.ResponseWriter, text string) {
+		fmt.Fprint(w, text)
+		w.(http.Flusher).Flush()
+	}
+	faults := map[string]http.HandlerFunc{
+		"503":   func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(503) },
+		"reset": func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) },
+		"turned away late": func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-time.After(2 * time.Second):
+			case <-r.Context().Done():
+			}
+			w.WriteHeader(503)
+		},
+		"silent from the first byte": silent,
+		"silent after the head":      func(w http.ResponseWriter, r *http.Request) { write(w, ""); silent(w, r) },
+		"silent within a line":       func(w http.ResponseWriter, r *http.Request) { write(w, `{"seq":2,"wh`); silent(w, r) },
+		"trickles": func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				write(w, " ")
+				time.Sleep(50 * time.Millisecond)
+			}
+		},
+		"never ends": func(w http.ResponseWriter, r *http.Request) {
+			write(w, `{"seq":2,"hosts":[`+"\n")
+			for r.Context().Err() == nil {
+				write(w, "\n\n")
+				time.Sleep(50 * time.Millisecond)
+			}
+		},
+		"nonsense": func(w http.ResponseWriter, r *http.Request) { write(w, "}\n") },
+	}
+	var all sync.WaitGroup
+	for name, fault := range faults {
+		for _, moved := range []bool{false, true} {
+			all.Go(func() { // all at once: they mostly wait
+				written := make(chan time.Time, 100)
+				var well atomic.Bool
+				serve := func(w http.ResponseWriter, r *http.Request) {
+					if well.Load() {
+						written <- time.Now()
+						open(2, host(0, "127.0.0.1:1", "ready"))(w, r)
+					} else {
+						fault(w, r)
+					}
+				}
+				addr, _ := lists(t, serve)
+				other, _ := lists(t, serve)
+				conf := config(addr, "127.0.0.1:1")
+				set := conf["settings"].(map[string]any)
+				set["membershipMode"], set["replicasOfMe"] = "on_request", 300
+				a, _, _, _ := start(t, conf)
+				time.Sleep(9 * time.Second) // some calls have failed
+				if moved {
+					conf["discovery"] = other
+					a.Reconfigure(parse(t, conf))
+					time.Sleep(time.Second)
+				}
+				well.Store(true)
+				healed := time.Now()
+				select {
+				case at := <-written:
+					// A call that had just begun is given up after 3.5 s of silence, and repeated within
+					// 4 s of its begin; the rest is for a slow machine.
+					if took := at.Sub(healed); took > 5*time.Second {
+						t.Errorf("%s, moved %v: told after %v", name, moved, took)
+					}
+				case <-time.After(soon):
+					t.Errorf("%s, moved %v: never told", name, moved)
+				}
+			})
+		}
+	}
+	all.Wait()
+}
