Take no answer to a request that has not gone out whole; test a flood of bad clients

Read in the code: a 200 that came while the body was still being written was passed on as the request's answer. No programme server starts on a request before its last byte.

Change: such an answer ends the attempt as a reset, and its connection is closed. A test with 300 bad clients of seven kinds at once: each is rid of, a good one is served among them, and places, goroutines and memory return to where they were.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -27,6 +27,7 @@
 	errSurplus   = errors.New("answer: bytes behind its end, or an end in doubt")
 	errDrained   = errors.New("backend drains or is gone")
 	errGone      = errors.New("nobody waits for the answer")
+	errEarly     = errors.New("an answer to a request that has not gone out whole")
 	errLate      = errors.New("too late for a repeat to be known as one")
 )
 
@@ -157,6 +158,7 @@
 	stage  atomic.Int32
 	conn   atomic.Pointer[conn] // the one that it may be written to
 	cut    atomic.Bool          // a write failed: the request did not go out whole
+	whole  atomic.Bool          // its body was taken to the last byte
 }
 
 // begin is asked before each write. It lets an attempt out on one connection only,
@@ -238,6 +240,9 @@
 		return res, errors.New("an answer without a length can't be known to be whole")
 	}
 	res.load = resp.Header.Get("Server-Load")
+	if resp.StatusCode == http.StatusOK && !a.whole.Load() {
+		return res, errEarly
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil && resp.StatusCode == http.StatusOK {
 		return res, fmt.Errorf("answer: %w", err)
@@ -281,11 +286,29 @@
 	if r.kind != "" {
 		h["Content-Type"] = []string{r.kind}
 	}
+	a.whole.Store(len(r.body) == 0)
 	return &http.Request{Method: r.method, URL: &u, Host: r.host, Header: h,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: io.NopCloser(bytes.NewReader(r.body)), ContentLength: int64(len(r.body))}
+		Body: &outBody{rest: bytes.NewReader(r.body), whole: &a.whole}, ContentLength: int64(len(r.body))}
+}
+
+// outBody is a request's body on its way out. It notes when it was taken to its last byte, which
+// the transport sends on before it comes for more.
+type outBody struct {
+	rest  *bytes.Reader
+	whole *atomic.Bool
+}
+
+func (b *outBody) Read(p []byte) (int, error) {
+	n, err := b.rest.Read(p)
+	if b.rest.Len() == 0 {
+		b.whole.Store(true)
+	}
+	return n, err
 }
 
+func (b *outBody) Close() error { return nil }
+
 func (a *attempt) deadline() time.Time {
 	t, _ := a.ctx.Deadline()
 	return t
--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -144,3 +147,95 @@
 		t.Fatalf("answered %d", status)
 	}
 }
+
+// A flood of bad clients, silent, slow, huge, with too much at once and gone in the midst of
+// it: each is rid of within 3 s, a good one among them is served, and what they took is given
+// back.
+func TestFloodOfBadClients(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	conf := config(nowhere, addr)
+	conf["limits"].(map[string]any)["sockets"] = 256
+	conf["settings"].(map[string]any)["membershipMode"] = "on_request"
+	a, base, _, _ := start(t, conf)
+	do(t, call(base, "order"))
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	until(t, "it is at rest", func() bool { return a.clients.count() == 0 })
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	goroutines := runtime.NumGoroutine()
+
+	head := "POST /order/u1 HTTP/1.1\r\nHost: x\r\nRequest-Id: bad\r\nRequest-Timeout: 30000m\r\n"
+	bad := []func(c net.Conn){
+		func(c net.Conn) {}, // silent
+		func(c net.Conn) { io.WriteString(c, head[:30]) },                              // half a head
+		func(c net.Conn) { io.WriteString(c, head+"Content-Length: 65536\r\n\r\nxx") }, // half a body
+		func(c net.Conn) { // a head without end
+			for range 1 << 10 {
+				if _, err := io.WriteString(c, "X: "+strings.Repeat("x", 1<<10)+"\r\n"); err != nil {
+					return
+				}
+			}
+		},
+		func(c net.Conn) { // much at once
+			for range 200 {
+				if _, err := io.WriteString(c, asBytes("many")); err != nil {
+					return
+				}
+			}
+		},
+		func(c net.Conn) { // gone in the midst of it
+			io.WriteString(c, asBytes("gone")+asBytes("gone")[:40])
+			c.Close()
+		},
+		func(c net.Conn) { // slow
+			for _, b := range []byte(head) {
+				if _, err := c.Write([]byte{b}); err != nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		},
+	}
+	var all sync.WaitGroup
+	for i := range 300 {
+		all.Go(func() {
+			c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			began := time.Now()
+			go bad[i%len(bad)](c)
+			c.SetReadDeadline(began.Add(soon))
+			// Its own time in the kernel's queue counts: others wait before it here.
+			if _, err := io.Copy(io.Discard, c); err != nil && os.IsTimeout(err) {
+				t.Errorf("kind %d: neither an error nor a close within %v", i%len(bad), soon)
+			} else if took := time.Since(began); took > 6*time.Second {
+				t.Errorf("kind %d: rid of after %v", i%len(bad), took)
+			}
+		})
+	}
+	for range 20 {
+		began := time.Now()
+		req := call(base, "order")
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("a good client among them: %v, %v", resp, err)
+		}
+		resp.Body.Close()
+		if took := time.Since(began); took > 3*time.Second {
+			t.Errorf("a good client waited %v", took)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	all.Wait()
+	until(t, "their places are given back", func() bool { return a.clients.count() == 0 })
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	until(t, "their goroutines have ended", func() bool { return runtime.NumGoroutine() <= goroutines+5 })
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grew := int64(after.HeapAlloc) - int64(before.HeapAlloc); grew > 4<<20 {
+		t.Errorf("%d bytes more are held", grew)
+	}
+}
--- a/internal/agent/window_test.go
+++ b/internal/agent/window_test.go
@@ -210,3 +210,51 @@
 		t.Fatalf("%d connections for three answers", *n)
 	}
 }
+
+// heldWrites is a connection on which only the first write goes through.
+type heldWrites struct {
+	net.Conn
+	wrote  *atomic.Bool
+	closed chan struct{}
+}
+
+func (c heldWrites) Write(p []byte) (int, error) {
+	if !c.wrote.Swap(true) {
+		return c.Conn.Write(p)
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+func (c heldWrites) Close() error {
+	select {
+	case <-c.closed:
+	default:
+		close(c.closed)
+	}
+	return c.Conn.Close()
+}
+
+// An answer to a request of which a part has not gone out yet is not that request's.
+func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil { // its head
+			io.WriteString(c, okAnswer)
+			io.Copy(io.Discard, r)
+		}
+	})
+	d := newDialer()
+	plain := d.connect
+	d.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := plain(ctx, network, addr)
+		return heldWrites{c, new(atomic.Bool), make(chan struct{})}, err
+	}
+	a := newAttempt(d.newTransport(), addr, http.MethodPost, never)
+	a.req.body = []byte(strings.Repeat("x", maxBody))
+	if res := a.run(); res.status == policy.OK {
+		t.Fatalf("taken for its answer: %q", res.body)
+	}
+	if n := d.open.Load(); n != 0 {
+		t.Fatalf("%d connections left", n)
+	}
+}
