See a client go in a request that was read ahead itself

Read in the code, then forced: of three requests sent at once and read ahead, the byte beside the second comes out of what was read, and its client's end was not seen. Reading ahead goes on behind it, and does not begin again once the end has come.

--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -174,7 +174,10 @@
 		n := copy(p, c.ahead)
 		c.ahead = c.ahead[n:]
 		c.head.scan(p[:n])
-		c.enter(reading)
+		if c.stage == resting {
+			c.enter(reading)
+		}
+		c.beside(n, len(p))
 		c.all.mu.Unlock()
 		return n, nil
 	}
@@ -195,18 +198,24 @@
 	if n > 0 && c.stage == resting {
 		c.enter(reading)
 	}
-	if n == 1 && len(p) == 1 {
-		c.behind = true
-		c.watch()
-	}
+	c.beside(n, len(p))
 	c.all.mu.Unlock()
 	c.head.scan(p[:n])
 	return n, err
 }
 
+// beside is told how much a read got of how much there was room for: the HTTP server's read
+// beside a request has room for one byte.
+func (c *clientConn) beside(n, room int) {
+	if n == 1 && room == 1 {
+		c.behind = true
+		c.watch()
+	}
+}
+
 // watch reads ahead if something came behind the request that is taken.
 func (c *clientConn) watch() {
-	if c.stage == taken && c.behind && c.stop == nil {
+	if c.stage == taken && c.behind && c.stop == nil && c.aheadEnd == nil {
 		c.stop = make(chan struct{})
 		go c.readAhead(c.stop)
 	}
--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -254,6 +254,34 @@
 	}
 }
 
+// The same with several requests behind each other, of which the client leaves in the second: the
+// byte behind that one has been read ahead with it.
+func TestGoneBehindPipelinedRequests(t *testing.T) {
+	addr, came, answer, cut := kept(t)
+	a, base, _, _ := start(t, config(nowhere, addr))
+	c, r := peer(t, base)
+	io.WriteString(c, asBytes("first")+"P")
+	wait(t, "the first", came)
+	rest := (asBytes("second") + asBytes("third"))[1:]
+	io.WriteString(c, rest[:len(rest)-10])
+	until(t, "it is read ahead", func() bool {
+		a.clients.mu.Lock()
+		defer a.clients.mu.Unlock()
+		for c := range a.clients.conns {
+			return len(c.ahead) >= len(rest)-11 // one may have come with the first
+		}
+		return false
+	})
+	answer <- okAnswer
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	wait(t, "the second", came)
+	c.Close()
+	wait(t, "the attempt is given up", cut)
+	until(t, "its place is given back", func() bool { return a.clients.count() == 0 })
+}
+
 // What is read behind a request is not lost to the next one.
 func TestPipelinedRequestIsAnswered(t *testing.T) {
 	addr, came, answer, _ := kept(t)
