--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -254,8 +254,7 @@
 	}
 }
 
-// The same with several requests behind each other, of which the client leaves in the second: the
-// byte behind that one has been read ahead with it.
+// The same with several requests behind each other, of which the client leaves in the second.
 func TestGoneBehindPipelinedRequests(t *testing.T) {
 	addr, came, answer, cut := kept(t)
 	a, base, _, _ := start(t, config(nowhere, addr))
