Take back the quick first call of an agent without a list

Cause: agents had their first list while all servers in it were cold, and one that has only ever known cold servers sends nothing until they are warm: the first credit is under one call and grows by what warm servers answer.

--- a/policy/list.go
+++ b/policy/list.go
@@ -23,8 +23,8 @@
 	// leastWait keeps some time between calls that take long to fail.
 	leastWait = 200.0
 	// firstWithin bounds the time until a new process asks for the first time: its list may
-	// be old, and emptyWithin where it knows no server at all.
-	firstWithin, emptyWithin = 3500.0, 250.0
+	// be old.
+	firstWithin = 3500.0
 )
 
 // askers is how many times as many agents there are as may ask often.
@@ -93,10 +93,6 @@
 		}
 		return
 	}
-	if ev.List == ListCached && len(ev.Entries) == 0 && b.following {
-		b.following = false
-		b.followIn(b.rng.Float64() * emptyWithin * min(b.askers(), 4))
-	}
 	b.follows, b.followed = 0, true
 	b.epoch++
 	if b.zones == 0 {
