Take back the rest of connections after an answer: it held requests for 20 ms

Ruled out: refusals and attempts a request, which were as before.

Change: no wait before a request on a kept connection.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -173,7 +173,6 @@
 	case over:
 		return false
 	}
-	time.Sleep(c.framing.settles())
 	if a.req.over() || a.late() {
 		a.withdraw()
 		return false
--- a/internal/agent/head.go
+++ b/internal/agent/head.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"time"
 )
 
 // longestName is how much of a line is kept to know its field by.
@@ -57,19 +56,13 @@
 // maxLine is how much of a line of an answer's head is kept: enough for what is read of it.
 const maxLine = 64
 
-// settleFor is how long a connection rests after an answer before the next request goes out on
-// it: what a backend sends behind an answer may come some milliseconds after it, and would
-// then be taken for the answer to that request.
-const settleFor = 20 * time.Millisecond
-
 // framing follows where the answer on a backend's connection ends, to notice bytes behind
 // it. net/http leaves those in its buffer, and where the next request is quick they are
 // taken for its answer.
 type framing struct {
 	mu sync.Mutex
 	answerEnd
-	over    bool      // bytes came behind the end, or before there was a request
-	endedAt time.Time // of the answer before
+	over bool // bytes came behind the end, or before there was a request
 }
 
 // answerEnd is how far an answer has come.
@@ -104,13 +97,6 @@
 	return !f.over
 }
 
-// settles is how long the connection still has to rest.
-func (f *framing) settles() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return settleFor - time.Since(f.endedAt)
-}
-
 // scan takes the bytes that the connection reads next, and returns how many are the answer's.
 func (f *framing) scan(p []byte) int {
 	f.mu.Lock()
@@ -135,9 +121,6 @@
 			f.line, p = f.line[:0], rest
 			f.take(line)
 		}
-		if f.ended && f.left == 0 {
-			f.endedAt = time.Now()
-		}
 	}
 	return all
 }
