--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -120,9 +120,11 @@
 	Damped  time.Duration   `json:"damped,omitempty"` // unlisted until then; 0: it is not
 }
 
-// Listed is the entry as readers see it.
+// Listed is the entry as readers see it. It leaves the service out: readers that know no
+// services are sent the same list, byte for byte, as before entries had one.
 func (e *Entry) Listed() endpoints.Host {
 	h := e.Host
+	h.Service = ""
 	if e.Share != nil {
 		h.Share = *e.Share
 	}
--- /dev/null
+++ b/internal/catalog/service_test.go
@@ -0,0 +1,42 @@
+package catalog
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A reader that names no services gets the list as it was before entries had a service.
+func TestServiceStaysOutOfWholeList(t *testing.T) {
+	plain, named := New(), New()
+	with := host("s", 10)
+	with.Service = "billing"
+	if r := do(plain, time.Second, Command{Kind: Register, Host: host("s", 10)}); r.Code != Done {
+		t.Fatalf("register: %+v", r)
+	}
+	if r := do(named, time.Second, Command{Kind: Register, Host: with}); r.Code != Done {
+		t.Fatalf("register with a service: %+v", r)
+	}
+	for _, whole := range []bool{true, false} {
+		want, _ := json.Marshal(plain.List(0, whole))
+		got, _ := json.Marshal(named.List(0, whole))
+		if string(got) != string(want) {
+			t.Errorf("whole %v: %s, want %s", whole, got, want)
+		}
+	}
+	if named.Entries["s"].Host.Service != "billing" {
+		t.Error("the state lost the entry's service")
+	}
+}
+
+func TestServiceNameIsChecked(t *testing.T) {
+	for _, name := range []string{"a b", "a/b", "a?b", strings.Repeat("x", 65)} {
+		h := host("s", 10)
+		h.Service = name
+		r := do(New(), time.Second, Command{Kind: Register, Host: h})
+		if r.Code != Invalid || !strings.HasPrefix(r.Text, "service: ") {
+			t.Errorf("service %q: %+v", name, r)
+		}
+	}
+}
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -40,6 +40,9 @@
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
 	BornMs float64 `json:"born_ms"`
+	// Service is the service that the backend belongs to; "" is the default service. Readers
+	// that name no services are sent lists without it.
+	Service string `json:"service,omitempty"`
 }
 
 // Bounds of what a service takes for an entry.
@@ -91,6 +94,8 @@
 		return fmt.Errorf("site: must be at most %d printable characters without spaces or slashes", MaxWord)
 	case h.Class != "" && !IsWord(h.Class, MaxWord):
 		return fmt.Errorf("class: must be at most %d printable characters without spaces or slashes", MaxWord)
+	case h.Service != "" && !IsWord(h.Service, MaxWord):
+		return fmt.Errorf("service: must be at most %d printable characters without spaces or slashes", MaxWord)
 	case h.Block < 0 || h.Block > 1<<20:
 		return fmt.Errorf("block: must be 0 to %d, is %d", 1<<20, h.Block)
 	case !IsShare(h.Share):
