--- /dev/null
+++ b/cmd/lab/capacity.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"molepaddle/internal/lab/capacity"
+)
+
+// capacityPage is the page's file name in the folder of pages.
+const capacityPage = "CAPACITY.md"
+
+// capacityCommand makes the tables of the capacity page from the results of scale runs.
+func capacityCommand(out io.Writer) *cobra.Command {
+	var folder string
+	var check bool
+	cmd := &cobra.Command{Use: "capacity", Short: "Make the tables of docs/CAPACITY.md from measured results", Args: cobra.NoArgs,
+		Long: "capacity reads DIR/capacity/*.json and DIR/capacity/target.toml, fits slopes, extrapolates\n" +
+			"them to the target and writes the tables into DIR/CAPACITY.md between their markers. With\n" +
+			"--check it writes nothing; exit code 1 and one line tell which table differs.",
+		Example: "  lab capacity\n  lab capacity --check",
+		RunE: func(*cobra.Command, []string) error {
+			target, data, err := capacity.ReadInputs(folder)
+			if err != nil {
+				return err
+			}
+			path := filepath.Join(folder, capacityPage)
+			text, err := os.ReadFile(path)
+			if err != nil {
+				return fmt.Errorf("--dir: %w", err)
+			}
+			tables := capacity.Tables(target, data)
+			if check {
+				return checkPage(out, path, string(text), tables)
+			}
+			page, err := capacity.Render(string(text), tables)
+			if err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			if err := os.WriteFile(path, []byte(page), 0o644); err != nil {
+				return fmt.Errorf("write the page: %w", err)
+			}
+			fmt.Fprintf(out, "%s: %d tables from %d results\n", path, len(tables), len(data))
+			return nil
+		}}
+	cmd.Flags().StringVar(&folder, "dir", "docs", "folder of the page; results and target in its folder capacity")
+	cmd.Flags().BoolVar(&check, "check", false, "write nothing; fail if a table differs from its results")
+	return cmd
+}
+
+func checkPage(out io.Writer, path, page string, tables []capacity.Table) error {
+	name, err := capacity.Differing(page, tables)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if name != "" {
+		fmt.Fprintf(out, "%s: table %s differs from the results; make it again with lab capacity\n", path, name)
+		return errBroke
+	}
+	fmt.Fprintf(out, "%s: all %d tables stand as the results have them\n", path, len(tables))
+	return nil
+}
--- /dev/null
+++ b/cmd/lab/capacity_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"molepaddle/internal/lab/capacity"
+)
+
+// capacityFolder is a copy of the page and the target with results that no run gave.
+func capacityFolder(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	for _, name := range []string{"CAPACITY.md", filepath.Join("capacity", "target.toml")} {
+		text, err := os.ReadFile(filepath.Join("..", "..", "docs", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(folder, name)
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, text, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	writeFixture(t, folder, 4)
+	return folder
+}
+
+// writeFixture writes results whose agents get so many bytes a second for each server.
+func writeFixture(t *testing.T, folder string, bytesPerServer float64) {
+	t.Helper()
+	results := &capacity.Results{Experiment: "fleet-ahead", Variant: capacity.Before, Command: "fixture", Commit: "fixture", Machine: "fixture"}
+	for _, servers := range []int{1000, 2000, 3000, 4000} {
+		run := capacity.Run{Servers: servers, Watches: servers}
+		run.Add("hollow agent", "steady", "bytes_in_per_second", bytesPerServer*float64(servers))
+		results.Runs = append(results.Runs, run)
+	}
+	if err := capacity.Write(filepath.Join(folder, "capacity", "fixture.json"), results); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func runCapacity(folder string, args ...string) (string, error) {
+	var out bytes.Buffer
+	root := command(&out, &out)
+	root.SetArgs(append([]string{"capacity", "--dir", folder}, args...))
+	err := root.Execute()
+	return out.String(), err
+}
+
+func TestCapacity(t *testing.T) {
+	folder := capacityFolder(t)
+	page := filepath.Join(folder, "CAPACITY.md")
+	checkDiffers := func(table string) {
+		t.Helper()
+		was, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		said, err := runCapacity(folder, "--check")
+		if !errors.Is(err, errBroke) || strings.Count(said, "\n") != 1 || !strings.Contains(said, "table "+table+" differs") {
+			t.Errorf("--check said %q, error %v; want one line that names %s", said, err, table)
+		}
+		if is, err := os.ReadFile(page); err != nil || !bytes.Equal(is, was) {
+			t.Errorf("--check wrote the page (%v)", err)
+		}
+	}
+	make := func() []byte {
+		t.Helper()
+		if said, err := runCapacity(folder); err != nil {
+			t.Fatalf("%s: %v", said, err)
+		}
+		if said, err := runCapacity(folder, "--check"); err != nil {
+			t.Fatalf("--check after the page was made: %s: %v", said, err)
+		}
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	checkDiffers("sources") // the page in the repository doesn't know the fixture
+	first := make()
+	if again := make(); !bytes.Equal(first, again) {
+		t.Error("the page differs when it is made again")
+	}
+	prose := bytes.Replace(first, []byte("# Capacity\n"), []byte("# Capacity\n\nMore prose.\n"), 1)
+	changed := bytes.Replace(prose, []byte("| 156,000* |"), []byte("| 15,600* |"), 1)
+	if bytes.Equal(changed, prose) {
+		t.Fatal("the page lacks the bytes of an agent at the target")
+	}
+	if err := os.WriteFile(page, changed, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	checkDiffers("roles")
+	if third := make(); !bytes.Equal(third, prose) {
+		t.Error("prose was changed, or the table was not made as before")
+	}
+	writeFixture(t, folder, 5)
+	checkDiffers("slopes")
+}
+
+func TestCapacityBadInput(t *testing.T) {
+	for name, c := range map[string]struct{ file, text, want string }{
+		"unknown key of the target":   {"capacity/target.toml", "serverz = 1\n", "serverz: unknown key"},
+		"unknown key of a result":     {"capacity/fixture.json", `{"experimint": ""}`, "experimint"},
+		"page without its first mark": {"CAPACITY.md", "# Capacity\n", "table: sources"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			folder := capacityFolder(t)
+			if err := os.WriteFile(filepath.Join(folder, c.file), []byte(c.text), 0o644); err != nil {
+				t.Fatal(err)
+			}
+			for _, args := range [][]string{nil, {"--check"}} {
+				said, err := runCapacity(folder, args...)
+				if err == nil || errors.Is(err, errBroke) || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+					t.Errorf("%v: said %q, error %v; want one line with %q", args, said, err, c.want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/fit_test.go
@@ -0,0 +1,91 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+)
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-9*max(1, math.Abs(want)) {
+		t.Errorf("%s is %v, want %v", what, got, want)
+	}
+}
+
+// TestFitLine compares with values that were worked out by hand: mean size 2.5, mean value
+// 5.25, sum of squares of sizes 5, of products 10.5, of residuals 0.7, of values 22.75.
+func TestFitLine(t *testing.T) {
+	fit := FitLine([]Point{{1, 2}, {2, 4}, {3, 7}, {4, 8}})
+	near(t, "slope", fit.Slope, 2.1)
+	near(t, "intercept", fit.Intercept, 0)
+	near(t, "standard error of the slope", fit.SlopeError, math.Sqrt(0.35/5))
+	near(t, "R²", fit.RSquared, 1-0.7/22.75)
+	near(t, "value at 10", fit.At(10), 21)
+	if fit.Sizes != 4 || fit.Largest != 4 || !fit.Known() {
+		t.Errorf("4 sizes up to 4, got %+v", fit)
+	}
+	if fit.Bend != 0 {
+		t.Errorf("bends at %v, though no point is a quarter off the line", fit.Bend)
+	}
+	size, rises := fit.SizeAt(42)
+	if near(t, "size at 42", size, 20); !rises {
+		t.Error("a line with slope 2.1 rises")
+	}
+}
+
+func TestFitLineTooFewSizes(t *testing.T) {
+	// Five points, but three sizes.
+	fit := FitLine([]Point{{1, 1}, {1, 1}, {2, 2}, {2, 2}, {3, 3}})
+	if fit.Known() || fit.Sizes != 3 || fit.Slope != 0 {
+		t.Errorf("a line through three sizes: %+v", fit)
+	}
+	if fit := FitLine(nil); fit.Known() || fit.Sizes != 0 {
+		t.Errorf("a line through nothing: %+v", fit)
+	}
+}
+
+func TestFitLineConstant(t *testing.T) {
+	fit := FitLine([]Point{{1, 5}, {2, 5}, {3, 5}, {4, 5}})
+	near(t, "slope", fit.Slope, 0)
+	near(t, "intercept", fit.Intercept, 5)
+	near(t, "R²", fit.RSquared, 1)
+	if fit.Bend != 0 {
+		t.Errorf("a constant bends at %v", fit.Bend)
+	}
+	if _, reached := fit.SizeAt(6); reached {
+		t.Error("a constant 5 reaches 6")
+	}
+}
+
+func TestFitLineBend(t *testing.T) {
+	// Straight up to 4, then nine times as steep.
+	fit := FitLine([]Point{{1, 10}, {2, 20}, {3, 30}, {4, 40}, {8, 400}})
+	if fit.Bend == 0 {
+		t.Fatalf("no bend found: %+v", fit)
+	}
+	// Size 8 pulls the line, so that size 4 is the largest that is a quarter off it.
+	if fit.Bend != 4 {
+		t.Errorf("off the line up to %v, want 4", fit.Bend)
+	}
+	// One point of twenty lies apart by more than three standard errors, and under a quarter.
+	var points []Point
+	for size := 1.0; size <= 20; size++ {
+		points = append(points, Point{size, 1000 + size})
+	}
+	points[9].Value += 100
+	if fit := FitLine(points); fit.Bend != 10 {
+		t.Errorf("off the line at %v, want 10", fit.Bend)
+	}
+}
+
+func TestFormatNumber(t *testing.T) {
+	for value, want := range map[float64]string{
+		0: "0", 1: "1", 0.0572345: "0.0572", 1234.5: "1,230", 39_000: "39,000", 4_803_211: "4,800,000",
+		-1234.5: "-1,230", 999.6: "1,000", 5.84321e-7: "5.84e-07", 0.000625: "0.000625",
+		math.NaN(): unknown, math.Inf(1): unknown,
+	} {
+		if got := formatNumber(value); got != want {
+			t.Errorf("%v is printed as %s, want %s", value, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/capacity/tables_test.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"fmt"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+var targetFile = filepath.Join("..", "..", "..", "docs", "capacity", "target.toml")
+
+func target(t *testing.T) *Target {
+	t.Helper()
+	target, err := LoadTarget(targetFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return target
+}
+
+// fixture makes results that no run gave: figures are straight lines over the servers.
+func fixture(variant string, sizes []int, lines map[Measurement][2]float64) *Results {
+	results := &Results{Experiment: fleetAhead, Variant: variant, Command: "fixture", Commit: "0123456789abcdef", Seed: 7,
+		Machine: "fixture | no machine", Started: time.Unix(0, 0).UTC()}
+	for _, size := range sizes {
+		run := Run{Servers: size, Watches: min(size, 5000), Services: 10}
+		for of, line := range lines {
+			run.Add(of.Role, of.Load, of.Metric, line[0]+line[1]*float64(size))
+		}
+		results.Runs = append(results.Runs, run)
+	}
+	return results
+}
+
+var (
+	agentBytes = Measurement{Role: "hollow agent", Load: "steady", Metric: "bytes_in_per_second"}
+	agentCores = Measurement{Role: "hollow agent", Load: "steady", Metric: "cpu_cores"}
+	listBytes  = Measurement{Role: "readers", Load: "first start", Metric: "list_bytes"}
+	lastChange = Measurement{Role: "readers", Load: "steady", Metric: "change_last_ms"}
+)
+
+func before() *Results {
+	return fixture(Before, []int{1000, 3000, 6000, 10_000}, map[Measurement][2]float64{
+		agentBytes: {0, 4}, agentCores: {0.001, 1e-7}, listBytes: {20, 120}, lastChange: {10, 0.01}})
+}
+
+func after() *Results {
+	return fixture(After, []int{1000, 3000, 6000, 10_000}, map[Measurement][2]float64{agentBytes: {400, 0}})
+}
+
+func dataset(results ...*Results) Dataset {
+	var data Dataset
+	for i, r := range results {
+		data = append(data, Source{File: fmt.Sprintf("fixture-%d.json", i), Results: r})
+	}
+	return data
+}
+
+func text(t *testing.T, target *Target, data Dataset, name string) string {
+	t.Helper()
+	for _, table := range Tables(target, data) {
+		if table.Name == name {
+			return table.Text
+		}
+	}
+	t.Fatalf("no table %s", name)
+	return ""
+}
+
+// line returns the only line of a text that holds all parts.
+func line(t *testing.T, text string, parts ...string) string {
+	t.Helper()
+	var found []string
+lines:
+	for _, line := range strings.Split(text, "\n") {
+		for _, part := range parts {
+			if !strings.Contains(line, part) {
+				continue lines
+			}
+		}
+		found = append(found, line)
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d lines with %q in\n%s", len(found), parts, text)
+	}
+	return found[0]
+}
+
+func wantIn(t *testing.T, line string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(line, part) {
+			t.Errorf("no %q in %s", part, line)
+		}
+	}
+}
+
+func TestEstimateMarks(t *testing.T) {
+	series := dataset(before())[:1].Series(Key{fleetAhead, Before, agentBytes.Role, agentBytes.Load, agentBytes.Metric, Servers})
+	for size, want := range map[float64]string{3000: "12,000", 200: "800", 30_000: "120,000", 30_001: "120,000*", 39_000: "156,000*"} {
+		if got := series.At(size).String(); got != want {
+			t.Errorf("at %v: %s, want %s", size, got, want)
+		}
+	}
+	below := Series{Fit: FitLine([]Point{{1000, 0}, {2000, 10}, {3000, 20}, {4000, 30}})}
+	if got := below.At(200).String(); got != "0†" {
+		t.Errorf("a line below zero gives %s", got)
+	}
+}
+
+func TestRolesTable(t *testing.T) {
+	roles := text(t, target(t), dataset(before()), "roles")
+	wantIn(t, line(t, roles, "| steady |", "| bytes in/s |"), "| 800 | 15,600 | 156,000* |", "| 24,000 B/s | 6.5* |", "fleet-ahead, before")
+	// Watches were open for 1,000, 3,000 and twice for 5,000 readers: three sizes, so the servers count.
+	wantIn(t, line(t, roles, "| steady |", "change to the last reader"), "over servers with 5,000 watches at most")
+	wantIn(t, line(t, roles, "| cores |", "| steady |"), "0.0049*", "0.153*")
+	for _, role := range []string{"Agent, control", "Agent, calls", "Programme server's registration", "Steward as voter", "Steward as leader",
+		"Steward as server of watches", "Gossip among control processes", "Exclusive leases", "Releases"} {
+		if !strings.Contains(roles, "### "+role+"\n") {
+			t.Errorf("no role %s", role)
+		}
+	}
+	if !strings.Contains(roles, "leader killed, steward killed, rack lost, zone lost") {
+		t.Error("loads that were not run are not said to be unknown")
+	}
+}
+
+func TestTooFewSizes(t *testing.T) {
+	few := before()
+	few.Runs = few.Runs[:3]
+	few.Runs = append(few.Runs, Run{Servers: 39_000, NotRun: "descriptors ran out",
+		Measurements: []Measurement{{Role: agentBytes.Role, Load: agentBytes.Load, Metric: agentBytes.Metric, Value: 1}}})
+	data := dataset(few)
+	wantIn(t, line(t, text(t, target(t), data, "roles"), "| steady |", "| bytes in/s |"), "| unknown: 3 sizes | unknown: 3 sizes | unknown: 3 sizes |")
+	wantIn(t, line(t, text(t, target(t), data, "sources"), "fixture-0.json"), "39,000: descriptors ran out", `fixture \| no machine`, "0123456789ab |", "| 7 |")
+	wantIn(t, line(t, text(t, target(t), data, "slopes"), "bytes_in_per_second"), "unknown: 3 sizes")
+}
+
+func TestSlopesTable(t *testing.T) {
+	row := line(t, text(t, target(t), dataset(before()), "slopes"), "bytes_in_per_second")
+	if want := "| fleet-ahead, before | hollow agent | steady | bytes_in_per_second | servers | 4,000 |"; !strings.HasPrefix(row, want) {
+		t.Errorf("%s\nshould begin with\n%s", row, want)
+	}
+	if !strings.HasSuffix(row, "| 1 | 4 | 10,000 | no |") {
+		t.Errorf("%s: not straight through 4 sizes up to 10,000", row)
+	}
+}
+
+func TestOrder(t *testing.T) {
+	data := dataset(before())
+	order := text(t, target(t), data, "order")
+	first := strings.Split(order, "\n")[2]
+	// 120 bytes a server: 1,000 servers are a whole list of 24,000 B/s for 5 s.
+	wantIn(t, first, "| 1 | a whole list in 5 s at 24,000 B/s | 1,000 |")
+	wantIn(t, line(t, order, "first lists of all agents"), "| 2 |", "2,350")
+	wantIn(t, line(t, order, "Agent, control: bytes in/s, limit"), "| 3 |", "| 6,000 |", mechanismScope)
+	wantIn(t, line(t, order, "which a reader refuses"), "35,000*")
+	wantIn(t, line(t, order, "Agent, control: cores"), "not at the target; at 310,000*")
+	// After the mechanism the bytes don't rise, and what was before stands beside it.
+	order = text(t, target(t), dataset(before(), after()), "order")
+	wantIn(t, line(t, order, "Agent, control: bytes in/s, limit"), "not at the target: it doesn't rise", "| 6,000 |")
+}
+
+func TestCrossingMeasuredFirst(t *testing.T) {
+	series := Series{Points: []Point{{1000, 1}, {2000, 9}, {3000, 1}, {4000, 1}}}
+	series.Fit = FitLine(series.Points)
+	if c := series.crossing(target(t), 9); c.Size != 2000 || !strings.HasSuffix(c.Source, "measured") {
+		t.Errorf("met at %+v, though it was measured at 2,000", c)
+	}
+}
+
+func TestComparison(t *testing.T) {
+	comparison := text(t, target(t), dataset(before(), after()), "comparison")
+	wantIn(t, line(t, comparison, "bytes in/s", "| 10,000 |"), "| 40,000 | 400 | 0.01 |")
+	wantIn(t, line(t, comparison, "bytes in/s", "| 39,000 |"), "| 156,000* | 400* |", "0.00256*")
+}
+
+func TestDerived(t *testing.T) {
+	derived := text(t, target(t), dataset(before()), "derived")
+	wantIn(t, line(t, derived, "control machines that fail a day"), "| 0.0572 |")
+	wantIn(t, line(t, derived, "renewals a second at one leader"), "| 19,500 |")
+	wantIn(t, line(t, derived, "region lost: changes at once"), "| 6,500 |")
+	wantIn(t, line(t, derived, "region cut off: configuration changes"), "| 1,420 |")
+	wantIn(t, line(t, derived, "bytes of a whole list"), "| 4,680,000* |")
+	wantIn(t, line(t, derived, "seconds for a whole list"), "| 195* |")
+}
+
+func TestPlacement(t *testing.T) {
+	placement := text(t, target(t), nil, "placement")
+	wantIn(t, line(t, placement, "| voters |"), "| 5 | 18 |")
+	wantIn(t, line(t, placement, "register or renew"), "| 6,500 | 0 |")
+	// 18 voters x 365 days x 0.002486 a day x 2 others x 0.002486 / 24.
+	wantIn(t, line(t, placement, "quorums lost a year"), "| 0.00338 |")
+}
+
+// TestSignificantDigits looks for figures with more than three digits, and for tables that
+// differ from one making to the next.
+func TestSignificantDigits(t *testing.T) {
+	data := dataset(before(), after())
+	again := Tables(target(t), data)
+	number := regexp.MustCompile(`[0-9][0-9,.]*`)
+	for i, table := range Tables(target(t), data) {
+		if table != again[i] {
+			t.Errorf("table %s differs when made again", table.Name)
+		}
+		if table.Name == "sources" || table.Name == "derived" { // commits; "86,400" as arithmetic
+			continue
+		}
+		for _, figure := range number.FindAllString(table.Text, -1) {
+			digits := strings.Trim(strings.ReplaceAll(strings.ReplaceAll(strings.TrimRight(figure, ",."), ",", ""), ".", ""), "0")
+			if len(digits) > significantDigits {
+				t.Errorf("table %s prints %s", table.Name, figure)
+			}
+		}
+	}
+}
+
+func TestNoResults(t *testing.T) {
+	for _, table := range Tables(target(t), nil) {
+		if table.Text == "" {
+			t.Errorf("table %s is empty", table.Name)
+		}
+	}
+	wantIn(t, line(t, text(t, target(t), nil, "order"), "Agent, control: bytes in/s, limit"), "| unknown |")
+}
