Capacity page: mechanisms are typed, and one that was built is said to be built

When the scale runs have results after the mechanism of part 4, roles and order of the page must not go on calling it missing; the order names the constant part of a cost where a limit is met without any server; what a role never has is not listed as unknown under each load.

--- a/internal/lab/capacity/derived.go
+++ b/internal/lab/capacity/derived.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/control"
@@ -59,13 +60,21 @@
 
 // derivedTable gives what was not run and follows by arithmetic.
 func derivedTable(target *Target, data Dataset) string {
+	earlier, latest := derive(target, data, data.earliestVariant), derive(target, data, data.latestVariant)
 	var rows [][]string
-	for _, group := range [][]derivation{ordinaryDay(target), storms(target, data), callCosts(target, data)} {
-		for _, d := range group {
-			rows = append(rows, []string{d.what, d.arithmetic, d.value.String()})
+	for i, d := range latest {
+		before := none
+		if was := earlier[i].value; was != d.value {
+			before = was.String()
 		}
+		rows = append(rows, []string{d.what, d.arithmetic, d.value.String(), before})
 	}
-	return markdownTable([]string{"derived, not run", "arithmetic", "value"}, rows)
+	return markdownTable([]string{"derived, not run", "arithmetic", "value", "before the last mechanism"}, rows)
+}
+
+// derive works out all figures with the variants that are chosen of each experiment.
+func derive(t *Target, data Dataset, variant variantOf) []derivation {
+	return slices.Concat(ordinaryDay(t), storms(t, data, variant), callCosts(t, data, variant))
 }
 
 func ordinaryDay(t *Target) []derivation {
@@ -83,13 +92,13 @@
 }
 
 // storms are the losses of the target's fleet.
-func storms(t *Target, data Dataset) []derivation {
+func storms(t *Target, data Dataset, variant variantOf) []derivation {
 	r := t.rates()
 	partition := t.Failures.RegionPartitionHours * secondsPerDay / hoursPerDay
 	missed := r.changesPerSecond * partition
 	outside := (t.Regions - 1) / t.Regions
 	zone, region := t.Servers/t.Zones, t.Servers/t.Regions
-	list := data.wholeList(t)
+	list := data.wholeList(t, variant)
 	entry := list.times(1 / t.Servers)
 	admitted := control.Defaults().CallRate * stewardsToday
 	return []derivation{
@@ -100,28 +109,28 @@
 		{"region lost: changes at once", "servers / regions", exact(region)},
 		{"zone lost: part of the history kept", "that / `catalog.MaxHistory`", exact(zone / catalog.MaxHistory)},
 		{"region lost: part of the history kept; above 1 all get the whole list", "that / `catalog.MaxHistory`", exact(region / catalog.MaxHistory)},
-		{"bytes of a whole list", "fit of `list_bytes` at the target", list},
-		{"seconds for a whole list at an agent's limit", "that / limit", list.times(1 / t.AgentBytesPerSecond)},
-		{"seconds for a zone lost at an agent's limit", "changes x bytes of an entry / limit", entry.times(zone / t.AgentBytesPerSecond)},
-		{"seconds for a region lost at an agent's limit", "changes x bytes of an entry / limit", entry.times(region / t.AgentBytesPerSecond)},
+		{"bytes of a reader's first list", "fit of `list_bytes` at the target", list},
+		{"seconds for that at an agent's limit", "that / limit", list.times(1 / t.AgentBytesPerSecond)},
+		{"seconds for a zone lost at an agent's limit", "changes x bytes of a list / servers / limit", entry.times(zone / t.AgentBytesPerSecond)},
+		{"seconds for a region lost at an agent's limit", "changes x bytes of a list / servers / limit", entry.times(region / t.AgentBytesPerSecond)},
 		{"region cut off: configuration changes meanwhile", "rate x time", exact(r.configPerSecond * partition)},
 		{"region cut off: all changes meanwhile", "rate x time", exact(missed)},
 		{"of them outside of it, which it misses", "that x (regions - 1) / regions", exact(missed * outside)},
 		{"region cut off: its own changes, which all others miss", "that / regions", exact(missed * (1 - outside))},
 		{"part of the history kept that the changes meanwhile are; above 1 all get the whole list", "all changes / `catalog.MaxHistory`", exact(missed / catalog.MaxHistory)},
-		{"region back: bytes to each of its agents, changes only", "changes missed x bytes of an entry", entry.times(missed * outside)},
-		{"region back: bytes out of control, whole lists", "agents of the region x bytes of a list", list.times(region)},
-		{fmt.Sprintf("region back: seconds until %d stewards admitted a whole list to each of its agents", stewardsToday),
+		{"region back: bytes to each of its agents, changes only", "changes missed x bytes of a list / servers", entry.times(missed * outside)},
+		{"region back: bytes out of control, first lists", "agents of the region x bytes of a list", list.times(region)},
+		{fmt.Sprintf("region back: seconds until %d stewards admitted the list of all servers to each of its agents", stewardsToday),
 			"agents x (1 + servers / 200) / (stewards x `call_rate`)", exact(region * (1 + t.Servers/entriesPerCall) / admitted)},
 	}
 }
 
 // wholeList is the bytes of a whole list at the target.
-func (d Dataset) wholeList(t *Target) Estimate {
+func (d Dataset) wholeList(t *Target, variant variantOf) Estimate {
 	role := Role{Experiments: fleetRuns, Variables: overServers}
 	var best Estimate
 	for _, load := range d.loads(fleetRuns) {
-		estimate := d.resolve(role, Figure{Role: "readers", Metric: "list_bytes"}, load, d.latestVariant).At(t.Servers)
+		estimate := d.resolve(role, Figure{Role: "readers", Metric: "list_bytes"}, load, variant).At(t.Servers)
 		if estimate.Basis != Unknown {
 			return estimate
 		}
@@ -131,7 +140,7 @@
 }
 
 // callCosts is what the agents on the way of a call add to it.
-func callCosts(t *Target, data Dataset) []derivation {
+func callCosts(t *Target, data Dataset, variant variantOf) []derivation {
 	perAgent := t.CallsPerSecond / t.Servers
 	group := []derivation{
 		{"calls a second and agent", "calls / agents", exact(perAgent)},
@@ -143,8 +152,8 @@
 		loads = []string{"any load"}
 	}
 	for _, load := range loads {
-		cost := data.resolve(role, Figure{Role: "agent", Metric: "cpu_ms_per_call"}, load, data.latestVariant)
-		median := data.resolve(role, Figure{Role: "agent", Metric: "added_p50_ms"}, load, data.latestVariant)
+		cost := data.resolve(role, Figure{Role: "agent", Metric: "cpu_ms_per_call"}, load, variant)
+		median := data.resolve(role, Figure{Role: "agent", Metric: "added_p50_ms"}, load, variant)
 		rows := []derivation{
 			{"cores that an agent spends on calls, all servers known, at " + load, "CPU a call x calls a second and agent", cost.At(t.Servers).times(perAgent / 1000)},
 			{fmt.Sprintf("the same with %d servers known", referenceKnown), "CPU a call x calls a second and agent", cost.At(referenceKnown).times(perAgent / 1000)},
--- a/internal/lab/capacity/fit.go
+++ b/internal/lab/capacity/fit.go
@@ -15,7 +15,7 @@
 	// errors of the residuals, or than maxResidualShare of the fitted value.
 	maxResidualErrors = 3.0
 	maxResidualShare  = 0.25
-	// roundingShare is the part of a value below which a residual is rounding.
+	// roundingShare is the part of a value below which a residual counts as rounding.
 	roundingShare = 1e-9
 )
 
@@ -90,7 +90,11 @@
 		residual := p.Value - f.At(p.Size)
 		sum += residual * residual
 	}
-	return math.Sqrt(sum / float64(len(points)-2))
+	residualError := math.Sqrt(sum / float64(len(points)-2))
+	if residualError <= roundingShare*math.Abs(f.At(f.Largest)) {
+		return 0
+	}
+	return residualError
 }
 
 // bend is the largest size whose point is off the line; 0 if none is.
--- a/internal/lab/capacity/order.go
+++ b/internal/lab/capacity/order.go
@@ -41,10 +41,10 @@
 
 // Bound is a limit with the mechanism that moves it.
 type Bound struct {
-	What      string
-	Mechanism string
-	Before    Crossing // before the mechanism that was built last; as Now where only one is known
-	Now       Crossing
+	What   string
+	Needs  []Mechanism
+	Before Crossing // before the mechanism that was built last; as Now where only one is known
+	Now    Crossing
 }
 
 // orderTable ranks the limits by the fleet size at which they are met.
@@ -62,13 +62,21 @@
 		if b.Before != b.Now {
 			before = b.Before.Text
 		}
-		mechanism := b.Mechanism
-		if b.Now.Reach == NotMet {
-			mechanism = none
-		}
-		rows = append(rows, []string{fmt.Sprint(i + 1), b.What, b.Now.Text, before, mechanism, b.Now.Source})
+		rows = append(rows, []string{fmt.Sprint(i + 1), b.What, b.Now.Text, before, b.mechanism(data), b.Now.Source})
+	}
+	return markdownTable([]string{"", "limit", "met at a fleet of", "before the last mechanism", "mechanism", "source"}, rows)
+}
+
+// mechanism says what moves the limit. Where it is met without any server, what has to
+// shrink is the part of the cost that doesn't grow with the fleet.
+func (b Bound) mechanism(data Dataset) string {
+	switch {
+	case b.Now.Reach == NotMet:
+		return none
+	case b.Now.Reach == ReachedAt && b.Now.Size == 0:
+		return "the constant part of the cost first; " + data.describe(b.Needs)
 	}
-	return markdownTable([]string{"", "limit", "met at a fleet of", "before the last mechanism", "missing mechanism", "source"}, rows)
+	return data.describe(b.Needs)
 }
 
 // crossingAt says that a limit is met at a size, or that the target stays below it.
@@ -86,25 +94,26 @@
 // constantBounds are the limits that follow from constants of the code.
 func constantBounds(target *Target) []Bound {
 	config := control.Defaults()
-	atConstant := func(what, mechanism, source string, size float64) Bound {
+	atConstant := func(what, source string, size float64, needs ...Mechanism) Bound {
 		crossing := crossingAt(target, size, Fitted, source)
-		return Bound{what, mechanism, crossing, crossing}
+		return Bound{what, needs, crossing, crossing}
 	}
 	region := Crossing{Structural, 0, "any size, with two regions", "placement table"}
 	members := Crossing{NotMet, catalog.MaxMembers, fmt.Sprintf("not at the target: %s processes", formatNumber(target.ControlMachines)), "`catalog.MaxMembers`"}
 	sessions := Crossing{NotMet, catalog.MaxSessions, members.Text, "`catalog.MaxSessions`"}
 	return []Bound{
-		atConstant("names in the replicated state", mechanismEntries, "`catalog.MaxEntries`", catalog.MaxEntries),
-		atConstant("a zone lost is more than the changes kept: each reader gets the whole list",
-			mechanismHistory, "`catalog.MaxHistory`, servers over zones", catalog.MaxHistory*target.Zones),
-		atConstant("a region lost is more than the changes kept: each reader gets the whole list", mechanismHistory, "`catalog.MaxHistory`, servers over regions", catalog.MaxHistory*target.Regions),
+		atConstant("names in the replicated state", "`catalog.MaxEntries`", catalog.MaxEntries, mechanismEntries),
+		atConstant("a zone lost is more than the changes kept: each reader gets its whole list",
+			"`catalog.MaxHistory`, servers over zones", catalog.MaxHistory*target.Zones, mechanismHistory),
+		atConstant("a region lost is more than the changes kept: each reader gets its whole list",
+			"`catalog.MaxHistory`, servers over regions", catalog.MaxHistory*target.Regions, mechanismHistory),
 		atConstant(fmt.Sprintf("watches a steward, one of %d stewards lost", stewardsToday),
-			mechanismReplicas, "`control.Defaults().MaxWatches`", float64(config.MaxWatches*(stewardsToday-1))),
-		atConstant(fmt.Sprintf("first lists of all agents admitted within %s s, by %d stewards", formatNumber(target.ConfigInForceSeconds), stewardsToday),
-			mechanismAdmission+"; "+mechanismScope, "`control.Defaults().CallRate`", firstListsAdmitted(config.CallRate*stewardsToday*target.ConfigInForceSeconds)),
-		{"a region that is cut off registers and renews nobody", mechanismRegions, region, region},
-		{"members of control", mechanismMembers, members, members},
-		{"sessions of lease holders, if control alone holds leases", mechanismMembers, sessions, sessions},
+			"`control.Defaults().MaxWatches`", float64(config.MaxWatches*(stewardsToday-1)), mechanismReplicas),
+		atConstant(fmt.Sprintf("first lists of all servers admitted for all agents within %s s, by %d stewards", formatNumber(target.ConfigInForceSeconds), stewardsToday),
+			"`control.Defaults().CallRate`", firstListsAdmitted(config.CallRate*stewardsToday*target.ConfigInForceSeconds), mechanismScope, mechanismAdmission),
+		{"a region that is cut off registers and renews nobody", []Mechanism{mechanismRegions}, region, region},
+		{"members of control", []Mechanism{mechanismMembers}, members, members},
+		{"sessions of lease holders, if control alone holds leases", []Mechanism{mechanismMembers}, sessions, sessions},
 	}
 }
 
@@ -126,7 +135,7 @@
 			bounds = append(bounds, data.bound(target, what, role, figure, figure.Limit.Value))
 		}
 	}
-	readers := Role{Experiments: fleetRuns, Variables: overServers, Missing: mechanismScope}
+	readers := Role{Experiments: fleetRuns, Variables: overServers, Needs: []Mechanism{mechanismScope}}
 	list := Figure{Role: "readers", Metric: "list_bytes"}
 	bytes := target.AgentBytesPerSecond * target.ConfigInForceSeconds
 	bounds = append(bounds,
@@ -137,7 +146,7 @@
 
 // bound finds where a figure meets a limit, before and now.
 func (d Dataset) bound(target *Target, what string, role Role, figure Figure, limit float64) Bound {
-	find := func(variant func(string) string) Crossing {
+	find := func(variant variantOf) Crossing {
 		first := Crossing{Reach: NotKnown, Text: unknown, Source: "not measured"}
 		for _, load := range d.loads(role.Experiments) {
 			series := d.resolve(role, figure, load, variant)
@@ -151,7 +160,7 @@
 		}
 		return first
 	}
-	return Bound{what, role.Missing, find(d.earliestVariant), find(d.latestVariant)}
+	return Bound{what, role.Needs, find(d.earliestVariant), find(d.latestVariant)}
 }
 
 // earliestVariant is Before where the experiment has it, else the latest.
@@ -197,12 +206,12 @@
 // callCostBound is where CPU a call gets above its goal, relative to few known servers.
 func (d Dataset) callCostBound(target *Target) Bound {
 	what := fmt.Sprintf("Agent, calls: CPU a call %s times that with %d servers known", formatNumber(callCostFactor), referenceKnown)
-	role := Role{Experiments: costRuns, Variables: overServers, Missing: mechanismIndex}
+	role := Role{Experiments: costRuns, Variables: overServers, Needs: []Mechanism{mechanismIndex}}
 	figure := Figure{Role: "agent", Metric: "cpu_ms_per_call"}
 	unknownBound := Crossing{Reach: NotKnown, Text: unknown, Source: "not measured"}
-	bound := Bound{what, mechanismIndex, unknownBound, unknownBound}
+	bound := Bound{what, role.Needs, unknownBound, unknownBound}
 	for _, load := range d.loads(costRuns) {
-		find := func(variant func(string) string) Crossing {
+		find := func(variant variantOf) Crossing {
 			series := d.resolve(role, figure, load, variant)
 			reference := series.At(referenceKnown)
 			if reference.Basis == Unknown {
--- a/internal/lab/capacity/placement.go
+++ b/internal/lab/capacity/placement.go
@@ -61,7 +61,7 @@
 		{"voters that fail a day", func(a Arrangement) string { return formatNumber(t.rates().machinePerDay * a.Voters * a.quorums(t)) }},
 		{fmt.Sprintf("quorums lost a year by independent failures, replaced within %d h", replacementHours), func(a Arrangement) string { return formatNumber(a.quorumsLostPerYear(t)) }},
 		{"has to be built", func(a Arrangement) string {
-			return a.either(mechanismReplicas+"; "+mechanismRegions, mechanismReplicas)
+			return a.either(string(mechanismReplicas+"; "+mechanismRegions), string(mechanismReplicas))
 		}},
 	}
 	head := []string{"derived"}
--- a/internal/lab/capacity/roles.go
+++ b/internal/lab/capacity/roles.go
@@ -37,6 +37,9 @@
 	Service  Quantity = "service"
 )
 
+// quantities are those that the page has to give for each role. The state is worded.
+var quantities = []Quantity{Messages, Bytes, CPU, Memory, Disk}
+
 // Limit is what a value has to stay under; the zero limit is none.
 type Limit struct {
 	Value float64
@@ -67,31 +70,49 @@
 // Role is a part of the system with its needs.
 type Role struct {
 	Name        string
-	State       string // what it holds
-	Mechanism   string // what carries it at the target
-	Missing     string // mechanisms that it lacks; "": none
+	State       string      // what it holds
+	Mechanism   string      // what carries it at the target
+	Needs       []Mechanism // that it lacks, or that were built last
+	Without     []Quantity  // that the role doesn't have at all
 	Experiments []string
 	Variables   []Variable // the first with sizes enough is taken
 	Figures     []Figure
 	Quoted      []Quoted
 }
 
-// missing is how the page says that there is no mechanism.
-const missing = "**missing**"
+// Mechanism is something that has to be built for the target.
+type Mechanism string
 
-// Names of mechanisms that are missing; the order of them refers to these.
+// The mechanisms that were missing when the page was begun.
 const (
-	mechanismScope     = "scope: a reader gets the services that it subscribes to"
-	mechanismReplicas  = "replicas that don't vote and serve watches"
-	mechanismBatching  = "renewals batched at the steward that a server talks to"
-	mechanismEntries   = "a larger bound on names, with snapshot and start measured at it"
-	mechanismHistory   = "history by service, longer than the largest loss"
-	mechanismAdmission = "admission by bytes"
-	mechanismRegions   = "a quorum per region, with summaries between regions"
-	mechanismIndex     = "agent: per-call work that is independent of the number of known servers"
-	mechanismMembers   = "sessions and members by region"
+	mechanismScope     Mechanism = "scope: a reader gets the services that it subscribes to"
+	mechanismReplicas  Mechanism = "replicas that don't vote and serve watches"
+	mechanismBatching  Mechanism = "renewals batched at the steward that a server talks to"
+	mechanismEntries   Mechanism = "a larger bound on names, with snapshot and start measured at it"
+	mechanismHistory   Mechanism = "history by service, longer than the largest loss"
+	mechanismAdmission Mechanism = "admission by bytes"
+	mechanismRegions   Mechanism = "a quorum per region, with summaries between regions"
+	mechanismIndex     Mechanism = "agent: per-call work that is independent of the number of known servers"
+	mechanismMembers   Mechanism = "sessions and members by region"
+	mechanismReleases  Mechanism = "all of it"
 )
 
+// lastMechanism is the one that the variant After of the scale runs has and Before lacks.
+const lastMechanism = mechanismScope
+
+// describe says of each mechanism whether it is missing or was built last.
+func (d Dataset) describe(mechanisms []Mechanism) string {
+	var parts []string
+	for _, mechanism := range mechanisms {
+		state := "**missing**"
+		if mechanism == lastMechanism && d.latestVariant(fleetAhead) == After {
+			state = "built, off by default"
+		}
+		parts = append(parts, state+": "+string(mechanism))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // controlCores is an assumption: the operators name no cores for a control machine, so it
 // is taken for one of 8 cores, as the machine of the measurements.
 const controlCores = 8
@@ -122,8 +143,9 @@
 	machine := Limit{controlCores, fmt.Sprintf("one machine (%d cores)", controlCores)}
 	return []Role{
 		{Name: "Agent, control", Experiments: fleetRuns, Variables: overServers,
-			State:     "the list of servers; one watch",
-			Mechanism: "`endpoints.Client`: one watch, changes only, back-off, retry budget", Missing: mechanismScope,
+			State:     "the list of servers; one watch. Nothing on the disk",
+			Without:   []Quantity{Disk},
+			Mechanism: "`endpoints.Client`: one watch, changes only, back-off, retry budget", Needs: []Mechanism{mechanismScope},
 			Figures: []Figure{
 				{Messages, "calls/s", "hollow agent", "calls_per_second", Limit{}},
 				{Messages, "lines/s", "hollow agent", "lines_per_second", Limit{}},
@@ -135,8 +157,9 @@
 				{Memory, "MB, real agent with its calls", "real agent", "rss_mb", agentMemory},
 			}},
 		{Name: "Agent, calls", Experiments: costRuns, Variables: overServers,
-			State:     "an entry for each known server; connections, queue, retry budget",
-			Mechanism: "`policy/`: ranks the known servers for each call", Missing: mechanismIndex,
+			State:     "an entry for each known server; connections, queue, retry budget. Nothing on the disk",
+			Without:   []Quantity{Messages, Bytes, Disk},
+			Mechanism: "`policy/`: ranks the known servers for each call", Needs: []Mechanism{mechanismIndex},
 			Figures: []Figure{
 				{CPU, "ms of CPU a call", "agent", "cpu_ms_per_call", Limit{}},
 				{CPU, "cores", "agent", "cpu_cores", Limit{}},
@@ -145,8 +168,9 @@
 				{Delay, "added ms, p99", "agent", "added_p99_ms", added},
 			}},
 		{Name: "Programme server's registration", Experiments: fleetRuns, Variables: overServers,
-			State:     "its own entry and lease",
-			Mechanism: "`POST /v1/renewals` every third of the lease, forwarded to the leader", Missing: mechanismBatching,
+			State:     "its own entry and lease. Nothing on the disk",
+			Without:   []Quantity{Disk},
+			Mechanism: "`POST /v1/renewals` every third of the lease, forwarded to the leader", Needs: []Mechanism{mechanismBatching},
 			Figures: []Figure{
 				{Messages, "calls/s", "hollow server", "calls_per_second", Limit{}},
 				{Bytes, "bytes out/s", "hollow server", "bytes_out_per_second", Limit{}},
@@ -156,7 +180,7 @@
 			}},
 		{Name: "Steward as voter", Experiments: fleetRuns, Variables: overServers,
 			State:     "all entries (`catalog.MaxEntries` at most), the last changes (`catalog.MaxHistory`), log, snapshot",
-			Mechanism: "raft log on bolt, snapshots, `internal/catalog`", Missing: mechanismEntries + "; " + mechanismRegions,
+			Mechanism: "raft log on bolt, snapshots, `internal/catalog`", Needs: []Mechanism{mechanismEntries, mechanismRegions},
 			Figures: []Figure{
 				{State, "log entries", "steward follower", "log_entries", Limit{}},
 				{Bytes, "bytes in/s", "steward follower", "bytes_in_per_second", Limit{}},
@@ -167,7 +191,7 @@
 			}},
 		{Name: "Steward as leader", Experiments: fleetRuns, Variables: overServers,
 			State:     "as a voter; a lease for each server, in memory only",
-			Mechanism: "leases in memory, no log entry for a renewal; guard against mass failure", Missing: mechanismBatching,
+			Mechanism: "leases in memory, no log entry for a renewal; guard against mass failure", Needs: []Mechanism{mechanismBatching},
 			Figures: []Figure{
 				{State, "log entries", "steward leader", "log_entries", Limit{}},
 				{Messages, "calls/s", "steward leader", "calls_per_second", Limit{}},
@@ -180,7 +204,7 @@
 			}},
 		{Name: "Steward as server of watches", Experiments: fleetRuns, Variables: overWatches,
 			State:     "open watches; the lines of the last changes, encoded once; the whole list, encoded once",
-			Mechanism: "coalesced lines, encoded once for all watches; watches spread by rendezvous hashing; admission", Missing: mechanismReplicas + "; " + mechanismAdmission,
+			Mechanism: "coalesced lines, encoded once for all watches; watches spread by rendezvous hashing; admission", Needs: []Mechanism{mechanismReplicas, mechanismAdmission},
 			Figures: []Figure{
 				{Messages, "lines/s", "steward follower", "lines_per_second", Limit{}},
 				{Messages, "refused calls", "steward follower", "refused_calls", Limit{}},
@@ -196,7 +220,8 @@
 				{Service, "requests, ms, p99", "requests", "p99_ms", Limit{}},
 			}},
 		{Name: "Gossip among control processes",
-			State:     "observations of each control process (`catalog.MaxMembers` at most)",
+			State:     "observations of each control process (`catalog.MaxMembers` at most). Nothing on the disk",
+			Without:   []Quantity{Disk},
 			Mechanism: "SWIM (memberlist) among control processes only; its size is that of control, not of the fleet",
 			Quoted: []Quoted{
 				{CPU, "cores a process at rest", gossipCoresAtRest, sourceNotice, machine, true},
@@ -204,7 +229,7 @@
 			}},
 		{Name: "Exclusive leases",
 			State:     "leases (`catalog.MaxDuties` at most) and sessions of their holders (`catalog.MaxSessions` at most), replicated",
-			Mechanism: "`internal/duty`; no log entry while nothing changes. Their number at the target is not told", Missing: mechanismMembers,
+			Mechanism: "`internal/duty`; no log entry while nothing changes. Their number at the target is not told", Needs: []Mechanism{mechanismMembers},
 			Quoted: []Quoted{
 				{CPU, "leader's cores, 1,000 leases", leases1000Cores, sourceDuties, machine, false},
 				{CPU, "leader's cores, 5,000 leases", leases5000Cores, sourceDuties, machine, false},
@@ -213,13 +238,13 @@
 				{Delay, "s until all are held again, a ninth lost, 1,000 leases", leases1000RecoveryS, sourceDuties, Limit{}, false},
 				{Delay, "s until all are held again, a ninth lost, 5,000 leases", leases5000RecoveryS, sourceDuties, Limit{}, false},
 			}},
-		{Name: "Releases", State: unknown, Mechanism: "planned: parts 5 and 6 of ROADMAP", Missing: "all of it"},
+		{Name: "Releases", State: unknown, Mechanism: "planned: parts 5 and 6 of ROADMAP", Needs: []Mechanism{mechanismReleases}},
 	}
 }
 
 // resolve finds the series of a figure under a load: of the first variable and experiment
 // with sizes enough for a line, else of those with most sizes.
-func (d Dataset) resolve(role Role, figure Figure, load string, variant func(experiment string) string) Series {
+func (d Dataset) resolve(role Role, figure Figure, load string, variant variantOf) Series {
 	var best Series
 	for _, variable := range role.Variables {
 		for _, experiment := range role.Experiments {
@@ -269,11 +294,27 @@
 	return left
 }
 
+// knownQuantities returns the quantities of a role that are known under any load.
+func (d Dataset) knownQuantities(role Role) map[Quantity]bool {
+	known := map[Quantity]bool{}
+	for _, q := range role.Quoted {
+		known[q.Quantity] = true
+	}
+	for _, load := range d.loads(role.Experiments) {
+		for _, figure := range role.Figures {
+			if len(d.resolve(role, figure, load, d.latestVariant).Points) > 0 {
+				known[figure.Quantity] = true
+			}
+		}
+	}
+	return known
+}
+
 // unmeasured returns the quantities that the page asks for and that are not known.
-func unmeasured(known map[Quantity]bool) string {
+func unmeasured(known map[Quantity]bool, without []Quantity) string {
 	var left []string
-	for _, quantity := range []Quantity{State, Messages, Bytes, CPU, Memory, Disk} {
-		if !known[quantity] {
+	for _, quantity := range quantities {
+		if !known[quantity] && !slices.Contains(without, quantity) {
 			left = append(left, string(quantity))
 		}
 	}
--- a/internal/lab/capacity/series.go
+++ b/internal/lab/capacity/series.go
@@ -76,6 +76,9 @@
 	return 0
 }
 
+// variantOf chooses a variant of an experiment.
+type variantOf func(experiment string) string
+
 // Key names a value that was measured at several sizes.
 type Key struct {
 	Experiment string
--- a/internal/lab/capacity/tables.go
+++ b/internal/lab/capacity/tables.go
@@ -80,8 +80,8 @@
 	var parts []string
 	for _, role := range roles(target) {
 		carried := role.Mechanism
-		if role.Missing != "" {
-			carried += ". " + missing + ": " + role.Missing
+		if len(role.Needs) > 0 {
+			carried += ". To it: " + data.describe(role.Needs)
 		}
 		parts = append(parts, fmt.Sprintf("### %s\n\nState held: %s.\nMechanism: %s.\n\n%s", role.Name, role.State, carried, roleTable(target, data, role)))
 	}
@@ -96,17 +96,18 @@
 	}
 	head = append(head, "limit", "factor to it at the target", "source")
 	rows := quotedRows(role)
+	known := data.knownQuantities(role)
 	for _, load := range data.loads(role.Experiments) {
-		rows = append(rows, loadRows(fleets, data, role, load)...)
+		rows = append(rows, loadRows(fleets, data, role, load, known)...)
 	}
-	left := strings.Join(unknownLoads(data, role), ", ")
-	switch {
-	case len(rows) == 0 && left == "":
-		rows = append(rows, unknownRow("all", "all"))
-	case left != "":
+	if len(rows) == 0 {
+		return markdownTable(head, [][]string{unknownRow("all", "all")})
+	}
+	if left := unmeasured(known, role.Without); left != "" {
+		rows = append(rows, unknownRow("all", left))
+	}
+	if left := strings.Join(unknownLoads(data, role), ", "); left != "" {
 		rows = append(rows, unknownRow(left, "all"))
-	case len(role.Quoted) > 0:
-		rows = append(rows, unknownRow("all", unmeasured(quotedQuantities(role))))
 	}
 	return markdownTable(head, rows)
 }
@@ -130,23 +131,17 @@
 	return rows
 }
 
-func quotedQuantities(role Role) map[Quantity]bool {
-	known := map[Quantity]bool{}
-	for _, q := range role.Quoted {
-		known[q.Quantity] = true
-	}
-	return known
-}
-
-func loadRows(fleets []Fleet, data Dataset, role Role, load string) [][]string {
+// loadRows gives a role's figures under a load, and says which of the quantities that are
+// known under another load are unknown under this one.
+func loadRows(fleets []Fleet, data Dataset, role Role, load string, elsewhere map[Quantity]bool) [][]string {
 	var rows [][]string
-	known := map[Quantity]bool{}
+	here := map[Quantity]bool{}
 	for _, figure := range role.Figures {
 		series := data.resolve(role, figure, load, data.latestVariant)
 		if len(series.Points) == 0 {
 			continue
 		}
-		known[figure.Quantity] = true
+		here[figure.Quantity] = true
 		row := []string{load, string(figure.Quantity), figure.Name}
 		var last Estimate
 		for _, fleet := range fleets {
@@ -158,8 +153,14 @@
 	if len(rows) == 0 {
 		return nil
 	}
-	if left := unmeasured(known); left != "" {
-		rows = append(rows, unknownRow(load, left))
+	var left []string
+	for _, quantity := range quantities {
+		if elsewhere[quantity] && !here[quantity] {
+			left = append(left, string(quantity))
+		}
+	}
+	if len(left) > 0 {
+		rows = append(rows, unknownRow(load, strings.Join(left, ", ")))
 	}
 	return rows
 }
@@ -197,7 +198,8 @@
 	if len(rows) == 0 {
 		return "No figure is there both before and after.\n"
 	}
-	return markdownTable([]string{"run", "role", "load", "figure", "servers", "before", "after", "after / before", "limit"}, rows)
+	return markdownTable([]string{"run", "role", "load", "figure", "servers, both measured", "before", "after",
+		"target, before", "target, after", "after / before there", "limit"}, rows)
 }
 
 func compareFigure(target *Target, data Dataset, role Role, figure Figure, load string) [][]string {
@@ -211,16 +213,9 @@
 		if !found {
 			continue
 		}
-		fleets := target.Fleets()
-		sizes := []float64{size}
-		if goal := fleets[len(fleets)-1].Servers; goal != size {
-			sizes = append(sizes, goal)
-		}
-		for _, at := range sizes {
-			was, is := before.At(at), after.At(at)
-			rows = append(rows, []string{experiment, role.Name, load, figure.Name, formatNumber(at),
-				was.String(), is.String(), ratio(is, was), orNone(figure.Limit.Text)})
-		}
+		was, is := before.At(target.Servers), after.At(target.Servers)
+		rows = append(rows, []string{experiment, role.Name, load, figure.Name, formatNumber(size), before.At(size).String(), after.At(size).String(),
+			was.String(), is.String(), ratio(is, was), orNone(figure.Limit.Text)})
 	}
 	return rows
 }
--- a/internal/lab/capacity/tables_test.go
+++ b/internal/lab/capacity/tables_test.go
@@ -154,8 +154,8 @@
 	first := strings.Split(order, "\n")[2]
 	// 120 bytes a server: 1,000 servers are a whole list of 24,000 B/s for 5 s.
 	wantIn(t, first, "| 1 | a whole list in 5 s at 24,000 B/s | 1,000 |")
-	wantIn(t, line(t, order, "first lists of all agents"), "| 2 |", "2,350")
-	wantIn(t, line(t, order, "Agent, control: bytes in/s, limit"), "| 3 |", "| 6,000 |", mechanismScope)
+	wantIn(t, line(t, order, "first lists of all servers"), "| 2 |", "2,350")
+	wantIn(t, line(t, order, "Agent, control: bytes in/s, limit"), "| 3 |", "| 6,000 |", "**missing**: "+string(mechanismScope))
 	wantIn(t, line(t, order, "which a reader refuses"), "35,000*")
 	wantIn(t, line(t, order, "Agent, control: cores"), "not at the target; at 310,000*")
 	// After the mechanism the bytes don't rise, and what was before stands beside it.
@@ -173,8 +173,7 @@
 
 func TestComparison(t *testing.T) {
 	comparison := text(t, target(t), dataset(before(), after()), "comparison")
-	wantIn(t, line(t, comparison, "bytes in/s", "| 10,000 |"), "| 40,000 | 400 | 0.01 |")
-	wantIn(t, line(t, comparison, "bytes in/s", "| 39,000 |"), "| 156,000* | 400* |", "0.00256*")
+	wantIn(t, line(t, comparison, "bytes in/s"), "| 10,000 | 40,000 | 400 | 156,000* | 400* | 0.00256* | 24,000 B/s |")
 }
 
 func TestDerived(t *testing.T) {
@@ -183,8 +182,8 @@
 	wantIn(t, line(t, derived, "renewals a second at one leader"), "| 19,500 |")
 	wantIn(t, line(t, derived, "region lost: changes at once"), "| 6,500 |")
 	wantIn(t, line(t, derived, "region cut off: configuration changes"), "| 1,420 |")
-	wantIn(t, line(t, derived, "bytes of a whole list"), "| 4,680,000* |")
-	wantIn(t, line(t, derived, "seconds for a whole list"), "| 195* |")
+	wantIn(t, line(t, derived, "bytes of a reader's first list"), "| 4,680,000* |")
+	wantIn(t, line(t, derived, "seconds for that at an agent's limit"), "| 195* |")
 }
 
 func TestPlacement(t *testing.T) {
