Capacity page: plainer text, and what of non-voting replicas exists

A spare serves lists and watches already (tried: one voter and one spare, a list and a watch asked of the spare), so the page no longer calls all of it missing.

--- a/cmd/lab/capacity.go
+++ b/cmd/lab/capacity.go
@@ -58,9 +58,9 @@
 		return fmt.Errorf("%s: %w", path, err)
 	}
 	if name != "" {
-		fmt.Fprintf(out, "%s: table %s differs from the results; make it again with lab capacity\n", path, name)
+		fmt.Fprintf(out, "%s: table %s differs from the results; regenerate it with lab capacity\n", path, name)
 		return errBroke
 	}
-	fmt.Fprintf(out, "%s: all %d tables stand as the results have them\n", path, len(tables))
+	fmt.Fprintf(out, "%s: all %d tables match the results\n", path, len(tables))
 	return nil
 }
--- a/internal/lab/capacity/derived.go
+++ b/internal/lab/capacity/derived.go
@@ -31,7 +31,7 @@
 // exact is a value that follows from constants and the target alone.
 func exact(value float64) Estimate { return Estimate{Value: value, Basis: Fitted} }
 
-// times multiplies an estimate and keeps what it stands on.
+// times multiplies an estimate and keeps its basis.
 func (e Estimate) times(factor float64) Estimate {
 	e.Value *= factor
 	return e
--- a/internal/lab/capacity/order.go
+++ b/internal/lab/capacity/order.go
@@ -110,7 +110,7 @@
 		atConstant(fmt.Sprintf("watches a steward, one of %d stewards lost", stewardsToday),
 			"`control.Defaults().MaxWatches`", float64(config.MaxWatches*(stewardsToday-1)), mechanismReplicas),
 		atConstant(fmt.Sprintf("first lists of all servers admitted for all agents within %s s, by %d stewards", formatNumber(target.ConfigInForceSeconds), stewardsToday),
-			"`control.Defaults().CallRate`", firstListsAdmitted(config.CallRate*stewardsToday*target.ConfigInForceSeconds), mechanismScope, mechanismAdmission),
+			"`control.Defaults().CallRate`, without its burst", firstListsAdmitted(config.CallRate*stewardsToday*target.ConfigInForceSeconds), mechanismScope, mechanismAdmission),
 		{"a region that is cut off registers and renews nobody", []Mechanism{mechanismRegions}, region, region},
 		{"members of control", []Mechanism{mechanismMembers}, members, members},
 		{"sessions of lease holders, if control alone holds leases", []Mechanism{mechanismMembers}, sessions, sessions},
--- a/internal/lab/capacity/roles.go
+++ b/internal/lab/capacity/roles.go
@@ -86,7 +86,7 @@
 // The mechanisms that were missing when the page was begun.
 const (
 	mechanismScope     Mechanism = "scope: a reader gets the services that it subscribes to"
-	mechanismReplicas  Mechanism = "replicas that don't vote and serve watches"
+	mechanismReplicas  Mechanism = "non-voting replicas in each region, chosen by the readers of that region"
 	mechanismBatching  Mechanism = "renewals batched at the steward that a server talks to"
 	mechanismEntries   Mechanism = "a larger bound on names, with snapshot and start measured at it"
 	mechanismHistory   Mechanism = "history by service, longer than the largest loss"
--- a/internal/lab/capacity/series.go
+++ b/internal/lab/capacity/series.go
@@ -175,7 +175,7 @@
 	return strings.Compare(a, b)
 }
 
-// Basis is what a value stands on.
+// Basis says how a value was obtained.
 type Basis int
 
 // The bases.
