Capacity page: name what was measured and is in no table

A role or metric that a results file words in another way than the table of roles would be left out of the page without a word; the sources now end with such names.

--- a/internal/lab/capacity/roles.go
+++ b/internal/lab/capacity/roles.go
@@ -217,6 +217,7 @@
 				{Delay, "change to the last reader, ms", "readers", "change_last_ms", inForce},
 				{Delay, "s until all are back", "readers", "recovered_s", Limit{}},
 				{Service, "share of requests served meanwhile", "requests", "served_share", Limit{}},
+				{Service, "requests, ms, p50", "requests", "p50_ms", Limit{}},
 				{Service, "requests, ms, p99", "requests", "p99_ms", Limit{}},
 			}},
 		{Name: "Gossip among control processes",
--- a/internal/lab/capacity/tables.go
+++ b/internal/lab/capacity/tables.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -18,7 +20,7 @@
 // Tables makes all tables of the page, in its order.
 func Tables(target *Target, data Dataset) []Table {
 	return []Table{
-		{"sources", sourcesTable(data)},
+		{"sources", sourcesTable(target, data)},
 		{"slopes", slopesTable(target, data)},
 		{"roles", rolesTable(target, data)},
 		{"placement", placementTable(target)},
@@ -29,7 +31,7 @@
 }
 
 // sourcesTable names the results with what was run, and what was not and why.
-func sourcesTable(data Dataset) string {
+func sourcesTable(target *Target, data Dataset) string {
 	if len(data) == 0 {
 		return "No results yet: all that has to be measured is unknown.\n"
 	}
@@ -50,7 +52,35 @@
 		rows = append(rows, []string{source.File, source.Experiment, orNone(source.Variant), "`" + source.Command + "`", commit,
 			fmt.Sprint(source.Seed), source.Machine, orNone(strings.Join(run, "; ")), orNone(strings.Join(notRun, "; "))})
 	}
-	return markdownTable([]string{"file", "experiment", "variant", "command", "commit", "seed", "machine", "sizes run", "sizes not run, and why"}, rows)
+	table := markdownTable([]string{"file", "experiment", "variant", "command", "commit", "seed", "machine", "sizes run", "sizes not run, and why"}, rows)
+	if left := data.unused(target); len(left) > 0 {
+		table += "\nMeasured and in no table: " + strings.Join(left, "; ") + ".\n"
+	}
+	return table
+}
+
+// unused names what was measured and has no place in the roles, so that a name that is
+// written in two ways shows.
+func (d Dataset) unused(target *Target) []string {
+	used := map[string]bool{}
+	for _, role := range roles(target) {
+		for _, experiment := range role.Experiments {
+			for _, figure := range role.Figures {
+				used[experiment+", "+figure.Role+": "+figure.Metric] = true
+			}
+		}
+	}
+	left := map[string]bool{}
+	for _, source := range d {
+		for _, run := range source.Runs {
+			for _, m := range run.Measurements {
+				if name := source.Experiment + ", " + m.Role + ": " + m.Metric; !used[name] {
+					left[name] = true
+				}
+			}
+		}
+	}
+	return slices.Sorted(maps.Keys(left))
 }
 
 // slopesTable gives the line behind each figure of the page.
--- a/internal/lab/capacity/tables_test.go
+++ b/internal/lab/capacity/tables_test.go
@@ -138,6 +138,16 @@
 	wantIn(t, line(t, text(t, target(t), data, "slopes"), "bytes_in_per_second"), "unknown: 3 sizes")
 }
 
+func TestUnusedMeasurement(t *testing.T) {
+	results := before()
+	if sources := text(t, target(t), dataset(results), "sources"); strings.Contains(sources, "in no table") {
+		t.Errorf("all is in a table, but it says\n%s", sources)
+	}
+	results.Runs[0].Add("hollow agents", "steady", "cpu_cores", 1)
+	results.Runs[1].Add("hollow agents", "steady", "cpu_cores", 1)
+	wantIn(t, line(t, text(t, target(t), dataset(results), "sources"), "in no table"), ": fleet-ahead, hollow agents: cpu_cores.")
+}
+
 func TestSlopesTable(t *testing.T) {
 	row := line(t, text(t, target(t), dataset(before()), "slopes"), "bytes_in_per_second")
 	if want := "| fleet-ahead, before | hollow agent | steady | bytes_in_per_second | servers | 4,000 |"; !strings.HasPrefix(row, want) {
