Bring control's lifecycle, raft and peer files to the field's terms

No behaviour, log line or wire name is changed; names that admission, api, hub or fsm use (propose, raise, renew, elapsed, errInDoubt, applyWait) stay for now.

--- a/internal/control/barrier.go
+++ b/internal/control/barrier.go
@@ -5,62 +5,70 @@
 	"sync"
 )
 
-// barriers shares what many calls wait for: each waits for one that began after it came.
-// Those that come while one is under way share the next.
+// barriers lets concurrent calls share one check against the quorum. Each call waits for a
+// check that began after the call did: calls that arrive while a check is running share the
+// next one.
 type barriers struct {
-	mu   sync.Mutex
-	next *barrier
-	busy bool
+	mu      sync.Mutex
+	next    *barrier // the check that has not begun yet, or nil
+	running bool     // a goroutine runs checks
 }
 
+// barrier is one shared check. err is valid once done is closed.
 type barrier struct {
 	done chan struct{}
 	err  error
 }
 
-func (n *Node) wait(ctx context.Context, b *barriers, pass func() error) error {
+// barrier waits until every entry that was in the log when it was called is applied here,
+// which makes a read that follows it linearizable. It returns errNoLeader if that can't be
+// shown, or the context's error.
+func (n *Node) barrier(ctx context.Context) error {
+	return n.joinBarrier(ctx, &n.readBarriers, func() error { return n.raft().Barrier(applyWait).Error() })
+}
+
+// verifyLeader has a quorum confirm that this steward led when verifyLeader was called. It
+// returns errNoLeader if it can't be shown, or the context's error.
+func (n *Node) verifyLeader(ctx context.Context) error {
+	return n.joinBarrier(ctx, &n.leaderChecks, func() error { return n.raft().VerifyLeader().Error() })
+}
+
+// joinBarrier waits for the next check of b, starting the goroutine that runs them if there
+// is none.
+func (n *Node) joinBarrier(ctx context.Context, b *barriers, check func() error) error {
 	b.mu.Lock()
 	if b.next == nil {
 		b.next = &barrier{done: make(chan struct{})}
 	}
-	mine := b.next
-	if !b.busy {
-		b.busy = true
-		n.own(func() { n.run(b, pass) })
+	joined := b.next
+	if !b.running {
+		b.running = true
+		n.own(func() { n.runBarriers(b, check) })
 	}
 	b.mu.Unlock()
 	select {
-	case <-mine.done:
-		return mine.err
+	case <-joined.done:
+		return joined.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (n *Node) run(b *barriers, pass func() error) {
+// runBarriers runs checks one after the other until no call waits for one.
+func (n *Node) runBarriers(b *barriers, check func() error) {
 	for {
 		b.mu.Lock()
-		mine := b.next
-		if mine == nil {
-			b.busy = false
+		current := b.next
+		if current == nil {
+			b.running = false
 			b.mu.Unlock()
 			return
 		}
 		b.next = nil
 		b.mu.Unlock()
-		if _, leads := n.elapsed(); !leads || pass() != nil {
-			mine.err = errNoLeader
+		if _, leads := n.elapsed(); !leads || check() != nil {
+			current.err = errNoLeader
 		}
-		close(mine.done)
+		close(current.done)
 	}
 }
-
-// barrier makes reads linearizable: it passes once all is applied that was in the log.
-func (n *Node) barrier(ctx context.Context) error {
-	return n.wait(ctx, &n.reads, func() error { return n.raft().Barrier(applyWait).Error() })
-}
-
-// prove passes if this steward led when it began: a quorum has said so since.
-func (n *Node) prove(ctx context.Context) error {
-	return n.wait(ctx, &n.proofs, func() error { return n.raft().VerifyLeader().Error() })
-}
--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -11,17 +11,21 @@
 	"net/http"
 )
 
-// call makes a request of a steward and reads its JSON answer.
+// HTTPError is an answer of a steward with a status other than 2xx.
+type HTTPError struct {
+	Status     int
+	Text       string
+	NotApplied bool // the request certainly had no effect and is safe to retry
+}
+
+// Error returns the text of the answer.
+func (e *HTTPError) Error() string { return e.Text }
+
+// call sends a request with a JSON body, or none if body is nil, and decodes the JSON answer
+// into the value that into points to. A *[]byte takes the answer as it is, and nil drops it.
+// An answer with a status other than 2xx is returned as an *HTTPError.
 func call(ctx context.Context, c *http.Client, method, url string, body, into any) error {
-	var r io.Reader
-	if body != nil {
-		text, err := json.Marshal(body)
-		if err != nil {
-			return fmt.Errorf("%s %s: %w", method, url, err)
-		}
-		r = bytes.NewReader(text)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, url, r)
+	req, err := newRequest(ctx, method, url, body)
 	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, url, err)
 	}
@@ -50,16 +54,19 @@
 	return nil
 }
 
-// HTTPError is a steward's refusal.
-type HTTPError struct {
-	Status     int
-	Text       string
-	NotApplied bool // it surely had no effect
+func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
+	if body == nil {
+		return http.NewRequestWithContext(ctx, method, url, nil)
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
 }
 
-func (e *HTTPError) Error() string { return e.Text }
-
-// neverSent tells whether a call failed before it went out.
+// neverSent reports whether a request failed before any of it was sent, which makes it safe
+// to retry.
 func neverSent(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -76,13 +76,13 @@
 // serveDuties has this steward take its part of the duties.
 func (n *Node) serveDuties() {
 	ctx, stop := context.WithCancel(context.Background())
-	n.retire, n.retired = stop, make(chan struct{})
+	n.stopHolder, n.holderDone = stop, make(chan struct{})
 	c := NewClient(nil, pollWait+5*time.Second)
 	c.Table = n.addresses
 	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
 		Kinds: map[string]duty.Function{sweepDuty: haveLeader(c, "/v1/sweep", sweepEvery), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: haveLeader(c, "/v1/voters", votersEvery)}})
 	go func() {
-		defer close(n.retired)
+		defer close(n.holderDone)
 		n.holder.Run(ctx)
 	}()
 }
@@ -101,9 +101,9 @@
 
 // leaveDuties hands over what this steward holds.
 func (n *Node) leaveDuties() {
-	if n.retire != nil {
-		n.retire()
-		<-n.retired
+	if n.stopHolder != nil {
+		n.stopHolder()
+		<-n.holderDone
 	}
 }
 
@@ -355,7 +355,7 @@
 	default:
 		return &refusal{catalog.Result{Code: code, Text: fmt.Sprintf("no session of %s", process)}}
 	}
-	if err := n.prove(r.Context()); err != nil {
+	if err := n.verifyLeader(r.Context()); err != nil {
 		return err
 	}
 	if t.Rev <= b.Rev {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -8,7 +8,15 @@
 	"molepaddle/internal/catalog"
 )
 
-// voters are the names that vote, as this steward knows it.
+// decisionInterval is how often the leader decides on sessions and leased tasks.
+const decisionInterval = 100 * time.Millisecond
+
+// maxSeq is the highest version that is accepted from a reader. JSON numbers are exact up to
+// it, and it keeps one reader with an invalid version from exhausting the range.
+const maxSeq = 1 << 52
+
+// voters returns the names of the voters in the latest raft configuration that this steward
+// has, or nil if there is none.
 func (n *Node) voters() []string {
 	f := n.raft().GetConfiguration()
 	if f.Error() != nil {
@@ -23,29 +31,40 @@
 	return names
 }
 
-// follow leads while raft says so: it takes up the leases, and proposes what is decided.
-func (n *Node) follow() {
-	tick := time.NewTicker(decideEvery)
+// leader returns the name of the leader, or "" if none is known.
+func (n *Node) leader() string {
+	if n.raft() == nil {
+		return ""
+	}
+	_, id := n.raft().LeaderWithID()
+	return string(id)
+}
+
+// leaderLoop follows raft's leadership changes and, while this steward leads, proposes what
+// sessions and leased tasks call for. It returns when the steward stops.
+func (n *Node) leaderLoop() {
+	tick := time.NewTicker(decisionInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case leads := <-n.raft().LeaderCh():
 			if leads {
-				n.begin()
+				n.becomeLeader()
 			} else {
-				n.end()
+				n.stepDown()
 			}
 		case <-tick.C:
 			n.assign()
 		case <-n.ctx.Done():
-			n.end()
+			n.stepDown()
 			return
 		}
 	}
 }
 
-// begin takes up a leader's work once all that was committed before is applied here.
-func (n *Node) begin() {
+// becomeLeader starts the leader's work once every entry committed by earlier leaders is
+// applied here. All leases and sessions start with their full time.
+func (n *Node) becomeLeader() {
 	if err := n.raft().Barrier(applyWait).Error(); err != nil {
 		n.log.Warn("leads no longer before it began", "err", err)
 		return
@@ -67,7 +86,8 @@
 	n.defineOwn()
 }
 
-func (n *Node) end() {
+// stepDown drops the leader's unreplicated state. It does nothing on a follower.
+func (n *Node) stepDown() {
 	n.lead.Lock()
 	defer n.lead.Unlock()
 	if n.leases != nil {
@@ -76,87 +96,36 @@
 	n.leases, n.tenures = nil, nil
 }
 
-// raise brings the version to where no reader has been: versions never go back, also where
-// the state is new or an old one. The clock is a hint only; what a reader has seen counts.
+// transferLeadership hands leadership to another voter, if this steward leads and there is
+// one.
+func (n *Node) transferLeadership() {
+	if n.raft() == nil || n.raft().State() != raft.Leader || len(n.voters()) <= 1 {
+		return
+	}
+	if err := n.raft().LeadershipTransfer().Error(); err != nil {
+		n.log.Warn("leadership was not handed over", "err", err)
+	}
+}
+
+// raise advances the version past every one that a reader can have seen, so that versions
+// never decrease after the state was lost or restored. The wall clock in microseconds is a
+// first guess; seen, the highest version that a reader reported, is a lower bound.
 func (n *Node) raise(seen int64) {
-	floor := max(n.c.Now().UnixMicro(), seen+1)
-	if floor > maxSeq {
-		return // no service ever said such a version
+	version := max(n.c.Now().UnixMicro(), seen+1)
+	if version > maxSeq {
+		return // no steward has ever issued such a version
 	}
-	if _, err := n.propose(catalog.Command{Kind: catalog.Floor, Seq: floor}); err != nil {
+	if _, err := n.propose(catalog.Command{Kind: catalog.Floor, Seq: version}); err != nil {
 		n.log.Warn("the version was not raised", "err", err)
 		return
 	}
-	n.log.Info("version raised", "to", floor, "seen_by_a_reader", seen)
+	n.log.Info("version raised", "to", version, "seen_by_a_reader", seen)
 }
 
-// maxSeq bounds a version that is taken for one: JSON numbers hold no more exactly, and one
-// reader's nonsense must not use up all that there are.
-const maxSeq = 1 << 52
-
-// elapsed is the leader's time for a command.
+// elapsed returns the state's clock as the leader continues it by its monotonic time, and
+// whether this steward leads. The time is meaningless if it doesn't.
 func (n *Node) elapsed() (time.Duration, bool) {
 	n.lead.Lock()
 	defer n.lead.Unlock()
 	return n.base + time.Since(n.ledSince), n.leases != nil
 }
-
-// sweep proposes what leases and damping call for, under the fence of the duty.
-func (n *Node) sweep(fence int64) error {
-	now, leads := n.elapsed()
-	if !leads {
-		return errNoLeader
-	}
-	var d catalog.Decision
-	n.lead.Lock()
-	if n.leases != nil {
-		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now, n.judge()) })
-	}
-	n.lead.Unlock()
-	for _, c := range []catalog.Command{{Kind: catalog.Lapse, Refs: d.Lapse}, {Kind: catalog.Hold, Refs: d.Hold},
-		{Kind: catalog.Seen, Refs: d.Seen}, {Kind: catalog.Admit, Refs: d.Admit}} {
-		if len(c.Refs) == 0 {
-			continue
-		}
-		c.Under, c.Fence = sweepDuty, fence
-		r, err := n.propose(c)
-		if err != nil {
-			return err
-		}
-		if r.Code == catalog.Fenced {
-			return &refusal{r}
-		}
-		n.m.decided.WithLabelValues(string(c.Kind)).Add(float64(len(c.Refs)))
-		n.log.Info("decided", "command", c.Kind, "servers", len(c.Refs), "first", c.Refs[0].Name, "fence", fence)
-	}
-	return nil
-}
-
-// renew notes that a process was heard; on the leader only, and in no log.
-func (n *Node) renew(refs []catalog.Ref) ([]catalog.Code, error) {
-	now, leads := n.elapsed()
-	if !leads {
-		return nil, errNoLeader
-	}
-	codes := make([]catalog.Code, len(refs))
-	n.lead.Lock()
-	defer n.lead.Unlock()
-	if n.leases == nil {
-		return nil, errNoLeader
-	}
-	n.fsm.read(func(s *catalog.State) {
-		for i, ref := range refs {
-			codes[i] = n.leases.Renew(s, ref, now)
-		}
-	})
-	return codes, nil
-}
-
-// leader is the name of the leader, "" if none is known.
-func (n *Node) leader() string {
-	if n.raft() == nil {
-		return ""
-	}
-	_, id := n.raft().LeaderWithID()
-	return string(id)
-}
--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"molepaddle/internal/catalog"
+)
+
+// sweep decides which server leases have expired, which of those the mass-failure guard
+// keeps, and which servers are released from damping, and proposes that with the fencing
+// token of the sweep task. It returns a refusal if the token is no longer valid, and
+// errNoLeader if this steward doesn't lead.
+func (n *Node) sweep(fence int64) error {
+	now, leads := n.elapsed()
+	if !leads {
+		return errNoLeader
+	}
+	var d catalog.Decision
+	n.lead.Lock()
+	if n.leases != nil {
+		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now, n.judge()) })
+	}
+	n.lead.Unlock()
+	commands := []catalog.Command{
+		{Kind: catalog.Lapse, Refs: d.Lapse},
+		{Kind: catalog.Hold, Refs: d.Hold},
+		{Kind: catalog.Seen, Refs: d.Seen},
+		{Kind: catalog.Admit, Refs: d.Admit},
+	}
+	for _, c := range commands {
+		if len(c.Refs) == 0 {
+			continue
+		}
+		c.Under, c.Fence = sweepDuty, fence
+		if err := n.proposeFenced(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// proposeFenced commits a decision of the sweep task and counts it.
+func (n *Node) proposeFenced(c catalog.Command) error {
+	r, err := n.propose(c)
+	if err != nil {
+		return err
+	}
+	if r.Code == catalog.Fenced {
+		return &refusal{r}
+	}
+	n.m.decided.WithLabelValues(string(c.Kind)).Add(float64(len(c.Refs)))
+	n.log.Info("decided", "command", c.Kind, "servers", len(c.Refs), "first", c.Refs[0].Name, "fence", c.Fence)
+	return nil
+}
+
+// renew extends the leases of servers that were heard and returns a code for each. Renewals
+// are kept in the leader's memory only and are not replicated.
+func (n *Node) renew(refs []catalog.Ref) ([]catalog.Code, error) {
+	now, leads := n.elapsed()
+	if !leads {
+		return nil, errNoLeader
+	}
+	codes := make([]catalog.Code, len(refs))
+	n.lead.Lock()
+	defer n.lead.Unlock()
+	if n.leases == nil {
+		return nil, errNoLeader
+	}
+	n.fsm.read(func(s *catalog.State) {
+		for i, ref := range refs {
+			codes[i] = n.leases.Renew(s, ref, now)
+		}
+	})
+	return codes, nil
+}
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -100,7 +100,7 @@
 			}
 		},
 		Conflict: func(name, address string) {
-			if n.m.conflicts.Inc(); n.quiet.Allow() {
+			if n.m.conflicts.Inc(); n.repeatedLogs.Allow() {
 				n.log.Error("two processes have one name: the one whose folder the catalog knows keeps it", "name", name, "other", address)
 			}
 		}})
@@ -133,7 +133,7 @@
 		})
 		had := n.gossip.Self().Incarnation
 		switch {
-		case mine.ID == n.id && mine.Life == n.life:
+		case mine.ID == n.id && mine.Life == n.startID:
 			if had != mine.Incarnation {
 				n.gossip.Say(func(i *member.Info) { i.Incarnation = mine.Incarnation })
 				n.log.Info("arrived", "incarnation", mine.Incarnation)
@@ -146,7 +146,7 @@
 			return
 		default:
 			var r catalog.Result
-			err := c.do(n.ctx, http.MethodPost, endpoints.MembersPath+"/"+n.c.Name+"/arrival", arrivalBody{n.id, n.life}, &r)
+			err := c.do(n.ctx, http.MethodPost, endpoints.MembersPath+"/"+n.c.Name+"/arrival", arrivalBody{n.id, n.startID}, &r)
 			var refused *HTTPError
 			taken := errors.As(err, &refused) && refused.Status == http.StatusConflict
 			switch {
@@ -179,7 +179,7 @@
 // another refuses what a process asks in a name that another one has, which is there.
 func (n *Node) another(name, id string) error {
 	if has, is := n.present(name); is && id != "" && has != "" && has != id {
-		if n.quiet.Allow() {
+		if n.repeatedLogs.Allow() {
 			n.log.Error("a second process came with the name of one that is there", "name", name)
 		}
 		return &refusal{catalog.Result{Code: catalog.Taken, Text: fmt.Sprintf("another process is called %s, and is there", name)}}
@@ -296,12 +296,12 @@
 		refuse(w, bad("refs: %d of at most %d", len(b.Refs), maxEvidence))
 		return
 	}
-	if n.testifying.Add(1) > mostQuestions {
-		n.testifying.Add(-1)
+	if n.evidenceCalls.Add(1) > mostQuestions {
+		n.evidenceCalls.Add(-1)
 		n.calls.refuse(w, evidenceWait) // who asked counts this one as silent
 		return
 	}
-	defer n.testifying.Add(-1)
+	defer n.evidenceCalls.Add(-1)
 	answer(w, Evidence{From: n.c.Name, Answers: n.testify(r.Context(), b.Refs)})
 }
 
@@ -441,7 +441,7 @@
 		}
 		voters := n.voters()
 		answers := n.ask(voters, refs)
-		if n.prove(n.ctx) != nil {
+		if n.verifyLeader(n.ctx) != nil {
 			continue
 		}
 		at := time.Now()
@@ -535,7 +535,7 @@
 	}
 	committed := n.raft().CommitIndex()
 	caught := map[string]bool{n.c.Name: true}
-	for _, st := range n.look() {
+	for _, st := range n.peerStatuses() {
 		caught[st.Name] = st.Applied > 0 && st.Applied+16 >= committed
 	}
 	v := n.gossip.View()
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -20,62 +20,91 @@
 )
 
 const (
-	applyWait   = 3 * time.Second // for a command to be committed
-	decideEvery = 100 * time.Millisecond
-	peerWait    = time.Second // for another steward's answer
-	leaveWait   = 5 * time.Second
+	applyWait = 3 * time.Second // timeout for a command to be committed
+	peerWait  = time.Second     // timeout for a request to another steward
+
+	readHeaderTimeout = 2 * time.Second
+	idleTimeout       = time.Minute
+	maxHeaderBytes    = 16 << 10
+	maxIdlePeerConns  = 8 // kept per steward
+	idlePeerTimeout   = 30 * time.Second
 )
 
-// Node is one steward.
+// Node is one steward: a raft replica of the catalog with its HTTP API, watches, gossip
+// membership and leased tasks. Create it with Start and release it with Close.
 type Node struct {
-	c     *Config
-	log   *slog.Logger
-	fsm   *fsm
-	hub   *hub
-	store *store
-	rp    atomic.Pointer[raft.Raft] // nil until it has joined
-	trans *raft.NetworkTransport
-	table atomic.Pointer[map[string]Peer]
-	http  *http.Server
-	calls *admission
-	peers *http.Client
-	m     *metrics
-	began time.Time
-	owned sync.WaitGroup
-	ctx   context.Context
-	stop  context.CancelFunc
-	fatal chan error
-
-	lead     sync.Mutex
-	leases   *catalog.Leases // while it leads and has heard all that was committed before
-	tenures  *catalog.Tenures
-	base     time.Duration // the state's clock when it began to lead
+	c          *Config
+	log        *slog.Logger
+	fsm        *fsm
+	hub        *hub
+	store      *store
+	raftNode   atomic.Pointer[raft.Raft] // nil until raft has started
+	trans      *raft.NetworkTransport
+	table      atomic.Pointer[map[string]Peer] // replaced by Reload
+	http       *http.Server
+	calls      *admission
+	peers      *http.Client // for requests to other stewards
+	m          *metrics
+	began      time.Time
+	goroutines sync.WaitGroup // started by own
+	ctx        context.Context
+	stop       context.CancelFunc
+	fatal      chan error
+
+	lead     sync.Mutex       // guards the fields of this group
+	leases   *catalog.Leases  // nil unless this steward leads and has applied all earlier entries
+	tenures  *catalog.Tenures // nil when leases is
+	base     time.Duration    // state clock when leadership began
 	ledSince time.Time
 
-	id, life   string // of the folder, and of this start
-	gossip     *gossip.Node
-	judged     verdicts
-	testifying atomic.Int64  // questions about servers that are being looked into
-	probes     *http.Client  // to servers
-	quiet      *rate.Limiter // for lines that one fault could repeat
-	failed     failures
-
-	reads    barriers
-	proofs   barriers // that it leads
-	holder   *duty.Runner
-	retire   context.CancelFunc // ends the holder
-	retired  chan struct{}
-	polls    atomic.Int64 // sessions that wait for their tasks
-	others   lookout
-	lagged   atomic.Int64 // ns by which this steward lags behind what the leader had committed
-	draining atomic.Bool
+	id            string // identity of the data folder
+	startID       string // identity of this start of the process
+	gossip        *gossip.Node
+	judged        verdicts
+	evidenceCalls atomic.Int64  // evidence requests in flight
+	probes        *http.Client  // for health requests to servers
+	repeatedLogs  *rate.Limiter // limits log lines that one fault can repeat
+	failed        failures
+
+	readBarriers barriers
+	leaderChecks barriers
+	holder       *duty.Runner
+	stopHolder   context.CancelFunc
+	holderDone   chan struct{}
+	polls        atomic.Int64 // sessions that wait for a change of their tasks
+	peerCache    statusCache
+	lagged       atomic.Int64 // nanoseconds by which the applied state lags behind the leader's commit index
+	draining     atomic.Bool
 }
 
-// Start opens the data folder and joins the other stewards.
+// Start opens the data folder, starts raft and serves the API. It returns once raft runs,
+// which on an empty data folder may take until the other stewards answer; the context bounds
+// that wait. On an error everything that was started has been stopped.
 func Start(ctx context.Context, c *Config, log *slog.Logger) (*Node, error) {
-	n := &Node{c: c, log: log, began: time.Now(), fatal: make(chan error, 1), life: rand.Text(),
-		probes: &http.Client{Timeout: probeWait, Transport: &http.Transport{DisableKeepAlives: true}}, quiet: rate.NewLimiter(1, 5),
-		peers: &http.Client{Timeout: peerWait, Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}}}
+	n := newNode(c, log)
+	if err := n.start(ctx); err != nil {
+		n.close()
+		return nil, err
+	}
+	log.Info("started", "listen", c.Listen, "raft", c.Raft, "data", c.Data)
+	return n, nil
+}
+
+// newNode returns a Node that has opened nothing yet.
+func newNode(c *Config, log *slog.Logger) *Node {
+	n := &Node{
+		c:            c,
+		log:          log,
+		began:        time.Now(),
+		fatal:        make(chan error, 1),
+		startID:      rand.Text(),
+		probes:       &http.Client{Timeout: probeWait, Transport: &http.Transport{DisableKeepAlives: true}},
+		repeatedLogs: rate.NewLimiter(1, 5),
+		peers: &http.Client{
+			Timeout:   peerWait,
+			Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: idlePeerTimeout},
+		},
+	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	table := c.Peers
 	n.table.Store(&table)
@@ -83,28 +112,29 @@
 	n.hub = newHub(n.fsm, c.Coalesce)
 	n.calls = newAdmission(c)
 	n.m = newMetrics(n)
-	if err := n.start(ctx); err != nil {
-		n.close()
-		return nil, err
-	}
-	log.Info("started", "listen", c.Listen, "raft", c.Raft, "data", c.Data)
-	return n, nil
+	return n
 }
 
+// start listens before raft runs: another steward's first start asks this one for its status.
 func (n *Node) start(ctx context.Context) error {
 	ln, err := net.Listen("tcp", n.c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	n.http = &http.Server{Handler: n.handler(), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute,
-		MaxHeaderBytes: 16 << 10, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	n.http = &http.Server{
+		Handler:           n.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
 	n.own(func() { _ = n.http.Serve(ln) })
 	n.own(func() { n.hub.run(n.ctx) })
-	if err := n.join(ctx); err != nil {
+	if err := n.startRaft(ctx); err != nil {
 		return err
 	}
-	n.own(n.follow)
-	n.own(n.tend)
+	n.own(n.leaderLoop)
+	n.own(n.watchLoop)
 	n.own(n.inquire)
 	if n.gossip != nil {
 		n.own(n.arrive)
@@ -113,18 +143,19 @@
 	return nil
 }
 
+// own runs f in a goroutine that close waits for.
 func (n *Node) own(f func()) {
-	n.owned.Add(1)
+	n.goroutines.Add(1)
 	go func() {
-		defer n.owned.Done()
+		defer n.goroutines.Done()
 		f()
 	}()
 }
 
-// raft is nil until the steward has joined.
-func (n *Node) raft() *raft.Raft { return n.rp.Load() }
+// raft returns the raft instance, or nil while it has not been started.
+func (n *Node) raft() *raft.Raft { return n.raftNode.Load() }
 
-// fail ends the process: it has met what it can't go on with.
+// fail reports an error that ends the process; Wait returns the first one.
 func (n *Node) fail(err error) {
 	select {
 	case n.fatal <- err:
@@ -132,14 +163,16 @@
 	}
 }
 
-// Reload takes over what may change while it runs: the table of peers.
+// Reload applies the part of a new configuration that can change at run time: the table of
+// peers.
 func (n *Node) Reload(c *Config) {
 	table := c.Peers
 	n.table.Store(&table)
 	n.log.Info("the table of peers was read again", "peers", len(table))
 }
 
-// Wait returns when the context ends, or with what the steward can't go on with.
+// Wait blocks until the context ends, and then returns nil, or until the steward meets an
+// error that it can't recover from, and then returns that.
 func (n *Node) Wait(ctx context.Context) error {
 	select {
 	case <-ctx.Done():
@@ -149,24 +182,23 @@
 	}
 }
 
-// Close ends the steward: its duties are handed over first, then leadership, then its watches.
+// Close stops the steward in order: it hands over its leased tasks, then leadership, moves
+// its watches to other stewards, and announces its leave to the gossip members.
 func (n *Node) Close() {
 	n.leaveDuties()
-	if n.raft() != nil && n.raft().State() == raft.Leader && len(n.voters()) > 1 {
-		if err := n.raft().LeadershipTransfer().Error(); err != nil {
-			n.log.Warn("leadership was not handed over", "err", err)
-		}
-	}
+	n.transferLeadership()
 	if n.raft() != nil {
 		n.drain()
 	}
-	if n.gossip != nil { // after its sessions have moved, for which it speaks until then
+	// Until here this steward gossips for the sessions that have now moved.
+	if n.gossip != nil {
 		n.gossip.Leave()
 	}
 	n.close()
 	n.log.Info("ended")
 }
 
+// close releases everything that was started, in any state of the start.
 func (n *Node) close() {
 	n.stop()
 	if n.http != nil {
@@ -180,7 +212,7 @@
 	if n.trans != nil {
 		n.trans.Close()
 	}
-	n.owned.Wait()
+	n.goroutines.Wait()
 	if n.gossip != nil {
 		n.gossip.Close()
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -8,39 +8,44 @@
 	"time"
 )
 
-func serves(st *Status) bool { return st.HasState && !st.Stale && !st.Draining }
-
-func better(found []Status) bool {
-	for i := range found {
-		if serves(&found[i]) {
-			return true
-		}
-	}
-	return false
-}
+const (
+	// statusMaxAge is the longest time for which the statuses of the other stewards are
+	// cached.
+	statusMaxAge = time.Second
+	// statusMinAge is the shortest time between two requests for them.
+	statusMinAge = 100 * time.Millisecond
+)
 
-// lookout remembers for a while how the other stewards stand.
-type lookout struct {
+// statusCache holds the last statuses of the other stewards.
+type statusCache struct {
 	mu    sync.Mutex
 	at    time.Time
 	found []Status
 }
 
-const (
-	lookAgain  = time.Second
-	lookAtMost = 100 * time.Millisecond
-)
+// fresh reports whether the cached statuses are recent enough. If no other steward can serve,
+// they are requested again sooner, as this steward serves a stale list only while that is so.
+func (c *statusCache) fresh(maxAge time.Duration) bool {
+	age := time.Since(c.at)
+	return age < statusMinAge || age < maxAge && anyCanServe(c.found)
+}
 
-// look asks the others how they stand, at most once in a while; those that don't answer
-// are left out.
-func (n *Node) look() []Status {
-	o := &n.others
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	// Whether none is better decides whether an old list is served: that is asked sooner.
-	if age := time.Since(o.at); age < lookAtMost || age < min(n.c.StaleAfter/4, lookAgain)/2 && better(o.found) {
-		return o.found
+// peerStatuses returns the statuses of the other stewards, from the cache while it is fresh.
+// Stewards that don't answer in time are left out.
+func (n *Node) peerStatuses() []Status {
+	c := &n.peerCache
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fresh(min(n.c.StaleAfter/4, statusMaxAge) / 2) {
+		return c.found
 	}
+	c.found = n.requestStatuses()
+	c.at = time.Now()
+	return c.found
+}
+
+// requestStatuses asks all other stewards at once and waits for each to answer or time out.
+func (n *Node) requestStatuses() (found []Status) {
 	ctx, cancel := context.WithTimeout(n.ctx, peerWait)
 	defer cancel()
 	names := n.c.others()
@@ -55,20 +60,15 @@
 			answers <- &st
 		}()
 	}
-	o.found = nil
 	for range names {
 		if st := <-answers; st != nil {
-			o.found = append(o.found, *st)
+			found = append(found, *st)
 		}
 	}
-	o.at = time.Now()
-	return o.found
+	return found
 }
 
-// betterElsewhere tells whether another steward has the quorum. Where none has, this one's
-// list is as good as any.
-func (n *Node) betterElsewhere() bool { return better(n.look()) }
-
+// statusOf requests the status of one steward.
 func (n *Node) statusOf(ctx context.Context, name string) (Status, error) {
 	var st Status
 	p, ok := (*n.table.Load())[name]
@@ -77,3 +77,20 @@
 	}
 	return st, call(ctx, n.peers, http.MethodGet, "http://"+p.HTTP+"/v1/status", nil, &st)
 }
+
+// betterElsewhere reports whether another steward can serve. If none can, this one's list is
+// as good as any, even if it is stale.
+func (n *Node) betterElsewhere() bool { return anyCanServe(n.peerStatuses()) }
+
+// canServe reports whether a steward has a current list to serve.
+func canServe(st *Status) bool { return st.HasState && !st.Stale && !st.Draining }
+
+// anyCanServe reports whether one of the stewards can serve.
+func anyCanServe(found []Status) bool {
+	for i := range found {
+		if canServe(&found[i]) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -11,13 +11,16 @@
 	"molepaddle/internal/catalog"
 )
 
-// errNoLeader is a command that was surely not carried out.
+// errNoLeader means that a command was certainly not applied and is safe to retry.
 var errNoLeader = errors.New("there is no leader at the moment")
 
-// errInDoubt is one that may have been, or may be yet.
+// errInDoubt means that the outcome of a command is ambiguous: it may have been applied, or
+// may yet be.
 var errInDoubt = errors.New("the leader changed: whether it was carried out is unknown")
 
-// propose commits a command. The result's code may still refuse it.
+// propose commits a command and returns its result, whose code may still refuse it. It
+// returns errNoLeader if the command was certainly not applied, and an error that wraps
+// errInDoubt if that is unknown.
 func (n *Node) propose(c catalog.Command) (catalog.Result, error) {
 	at, leads := n.elapsed()
 	if !leads {
--- a/internal/control/staleness.go
+++ b/internal/control/staleness.go
@@ -6,7 +6,7 @@
 	"github.com/hashicorp/raft"
 )
 
-// silence is for how long this steward has heard no leader, nor been one.
+// silence returns how long ago this steward last heard from a leader; zero if it leads.
 func (n *Node) silence() time.Duration {
 	if n.raft() == nil {
 		return time.Since(n.began)
@@ -21,7 +21,8 @@
 	return time.Since(last)
 }
 
-// stale tells whether it has lost the quorum, or lags, for longer than its bound.
+// stale reports whether this steward has been without a leader, or lagged behind one, for
+// longer than the configured bound.
 func (n *Node) stale() bool {
 	return n.silence() > n.c.StaleAfter || time.Duration(n.lagged.Load()) > n.c.StaleAfter
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -9,60 +9,85 @@
 	"molepaddle/internal/endpoints"
 )
 
-// Status is how a steward stands.
+// Status describes a steward as it sees itself.
 type Status struct {
 	Name      string            `json:"name"`
-	State     string            `json:"state"` // "leader", "follower", "candidate" or "starting"
+	State     string            `json:"state"` // "leader", "follower", "candidate", "ended" or "starting"
 	Leader    string            `json:"leader"`
 	Term      uint64            `json:"term"`
-	Seq       int64             `json:"seq"`
+	Seq       int64             `json:"seq"` // version of the list
 	Applied   uint64            `json:"applied"`
 	Committed uint64            `json:"committed"`
-	HasState  bool              `json:"has_state"`
+	HasState  bool              `json:"has_state"` // its raft log holds more than the first configuration
 	Stale     bool              `json:"stale"`
-	SilentMs  int64             `json:"silent_ms"`
+	SilentMs  int64             `json:"silent_ms"` // since it last heard from a leader
 	Voters    []string          `json:"voters"`
 	Peers     map[string]string `json:"peers"`    // suffrage by name
 	LagMs     int64             `json:"lag_ms"`   // behind what the leader had committed
-	Draining  bool              `json:"draining"` // it is about to end
+	Draining  bool              `json:"draining"` // it is about to stop
 	Watches   int               `json:"watches"`
 	Movable   int               `json:"movable"` // watches that can go to another steward
 	Listed    int               `json:"listed"`
-	Held      int               `json:"held"` // that would have lapsed in a mass failure
+	Held      int               `json:"held"` // servers that the mass-failure guard keeps although their leases expired
 	Damped    int               `json:"damped"`
 	HeldForMs int64             `json:"held_for_ms"`
 }
 
+// stateNames are the values of Status.State by raft state.
+var stateNames = map[raft.RaftState]string{
+	raft.Leader:    "leader",
+	raft.Follower:  "follower",
+	raft.Candidate: "candidate",
+	raft.Shutdown:  "ended",
+}
+
+// status returns this steward's status. Without raft only the fields about the state and the
+// watches are set.
 func (n *Node) status() Status {
-	st := Status{Name: n.c.Name, State: "starting", Watches: n.hub.watches(), Movable: n.hub.load().movable, Draining: n.draining.Load(), Peers: map[string]string{}}
-	var clock, since time.Duration
-	n.fsm.read(func(s *catalog.State) {
-		st.Seq, clock, since = s.Seq, s.Clock, s.HeldSince
-		for _, e := range s.Entries {
-			switch {
-			case e.Ended:
-			case e.Damped > 0:
-				st.Damped++
-			case e.Listed().Health != endpoints.Gone:
-				st.Listed++
-			}
-			if e.Held {
-				st.Held++
-			}
-		}
-	})
-	if since > 0 {
-		st.HeldForMs = (clock - since).Milliseconds()
+	st := Status{
+		Name:     n.c.Name,
+		State:    "starting",
+		Watches:  n.hub.watches(),
+		Movable:  n.hub.load().movable,
+		Draining: n.draining.Load(),
+		Peers:    map[string]string{},
 	}
+	n.fsm.read(func(s *catalog.State) { countEntries(&st, s) })
 	if n.raft() == nil {
 		return st
 	}
-	states := map[raft.RaftState]string{raft.Leader: "leader", raft.Follower: "follower", raft.Candidate: "candidate", raft.Shutdown: "ended"}
-	st.State, st.Leader, st.Term = states[n.raft().State()], n.leader(), n.raft().CurrentTerm()
-	st.Applied, st.Committed = n.raft().AppliedIndex(), n.raft().CommitIndex()
+	n.addRaftStatus(&st)
+	return st
+}
+
+// countEntries fills in what the replicated state holds.
+func countEntries(st *Status, s *catalog.State) {
+	st.Seq = s.Seq
+	for _, e := range s.Entries {
+		switch {
+		case e.Ended:
+		case e.Damped > 0:
+			st.Damped++
+		case e.Listed().Health != endpoints.Gone:
+			st.Listed++
+		}
+		if e.Held {
+			st.Held++
+		}
+	}
+	if s.HeldSince > 0 {
+		st.HeldForMs = (s.Clock - s.HeldSince).Milliseconds()
+	}
+}
+
+// addRaftStatus fills in how raft stands. It requires that raft has started.
+func (n *Node) addRaftStatus(st *Status) {
+	r := n.raft()
+	st.State, st.Leader, st.Term = stateNames[r.State()], n.leader(), r.CurrentTerm()
+	st.Applied, st.Committed = r.AppliedIndex(), r.CommitIndex()
 	st.Stale, st.SilentMs = n.stale(), n.silence().Milliseconds()
 	st.LagMs = time.Duration(n.lagged.Load()).Milliseconds()
-	if f := n.raft().GetConfiguration(); f.Error() == nil {
+	if f := r.GetConfiguration(); f.Error() == nil {
 		for _, s := range f.Configuration().Servers {
 			st.Peers[string(s.ID)] = s.Suffrage.String()
 			if s.Suffrage == raft.Voter {
@@ -70,8 +95,7 @@
 			}
 		}
 	}
-	// The first entry is the configuration that each writes for itself; what comes after it
-	// took a quorum.
-	st.HasState = n.raft().LastIndex() > 1
-	return st
+	// The first entry is the configuration that each steward writes at bootstrap; any later
+	// one took a quorum.
+	st.HasState = r.LastIndex() > 1
 }
--- a/internal/control/watches.go
+++ b/internal/control/watches.go
@@ -2,71 +2,95 @@
 
 import "time"
 
-// tend looks after the watches: they are ended once this steward has become stale while a
-// better one is there, and some of them, in small steps, when others have fewer.
-func (n *Node) tend() {
-	t := time.NewTicker(min(n.c.StaleAfter/4, lookAgain))
+// drainSteps is in how many steps Close moves the watches to other stewards.
+const drainSteps = 20
+
+// watchLoop sends watches to other stewards: all of them once this steward is stale and
+// another can serve them, and a few at a time when others have fewer. It also measures the
+// lag behind the leader that makes a steward stale. It returns when the steward stops.
+func (n *Node) watchLoop() {
+	t := time.NewTicker(min(n.c.StaleAfter/4, statusMaxAge))
 	defer t.Stop()
 	var behind progress
-	var spread time.Time
+	var rebalanced time.Time
 	for {
 		select {
 		case <-t.C:
 		case <-n.ctx.Done():
 			return
 		}
-		found := n.look()
-		for i := range found {
-			if st := &found[i]; st.State == "leader" && st.Term >= n.raft().CurrentTerm() {
-				behind.saw(time.Since(n.began), st.Committed)
-			}
-		}
+		found := n.peerStatuses()
+		n.noteCommitted(&behind, found)
 		n.rejoinLost(found)
 		n.lagged.Store(int64(behind.lag(time.Since(n.began), n.raft().AppliedIndex())))
-		if n.stale() && better(found) {
-			if ended := n.hub.endAll(); ended > 0 {
-				n.log.Warn("without the quorum or behind: watches are sent elsewhere", "watches", ended,
-					"silent_for", n.silence().Round(time.Millisecond), "behind_by", time.Duration(n.lagged.Load()).Round(time.Millisecond))
-			}
+		if n.stale() && anyCanServe(found) {
+			n.endWatches()
 			continue
 		}
-		if time.Since(spread) < lookAgain {
+		if time.Since(rebalanced) < statusMaxAge {
 			continue
 		}
-		spread = time.Now()
-		if moved := n.hub.move(surplus(n.hub.load(), loads(found))); moved > 0 {
-			n.m.moved.Add(float64(moved))
-			n.log.Info("other stewards have fewer watches", "sent_elsewhere", moved, "left", n.hub.watches())
+		rebalanced = time.Now()
+		n.rebalance(found)
+	}
+}
+
+// noteCommitted records the leader's commit index, against which this steward's lag is
+// measured.
+func (n *Node) noteCommitted(behind *progress, found []Status) {
+	for i := range found {
+		if st := &found[i]; st.State == "leader" && st.Term >= n.raft().CurrentTerm() {
+			behind.saw(time.Since(n.began), st.Committed)
 		}
 	}
 }
 
-// loads is what the stewards have to which a watch can go.
-func loads(found []Status) (out []load) {
+// endWatches ends all watches of a stale steward, so that their readers go to another.
+func (n *Node) endWatches() {
+	ended := n.hub.endAll()
+	if ended == 0 {
+		return
+	}
+	n.log.Warn("without the quorum or behind: watches are sent elsewhere", "watches", ended,
+		"silent_for", n.silence().Round(time.Millisecond), "behind_by", time.Duration(n.lagged.Load()).Round(time.Millisecond))
+}
+
+// rebalance ends a small part of the watches if other stewards have fewer.
+func (n *Node) rebalance(found []Status) {
+	moved := n.hub.move(surplus(n.hub.load(), peerLoads(found)))
+	if moved == 0 {
+		return
+	}
+	n.m.moved.Add(float64(moved))
+	n.log.Info("other stewards have fewer watches", "sent_elsewhere", moved, "left", n.hub.watches())
+}
+
+// peerLoads returns the loads of the stewards that a watch can be sent to.
+func peerLoads(found []Status) (out []load) {
 	for i := range found {
-		if st := &found[i]; serves(st) {
+		if st := &found[i]; canServe(st) {
 			out = append(out, load{st.Watches, st.Movable})
 		}
 	}
 	return out
 }
 
-// drain sends the watches elsewhere that can go there, a few at a time, before this steward
-// ends: all at once they would be a herd at the others.
+// drain moves the watches that can go to other stewards, in steps spread over the configured
+// time, so that the others aren't hit by all of them at once. It does nothing but set the
+// draining flag if no other steward can serve.
 func (n *Node) drain() {
 	n.draining.Store(true)
 	if n.c.Drain <= 0 || !n.betterElsewhere() {
 		return
 	}
-	const steps = 20
 	first := n.hub.load().movable
-	t := time.NewTicker(max(n.c.Drain/steps, time.Millisecond))
+	t := time.NewTicker(max(n.c.Drain/drainSteps, time.Millisecond))
 	defer t.Stop()
-	for range steps {
+	for range drainSteps {
 		if n.hub.load().movable == 0 {
 			break
 		}
-		n.m.moved.Add(float64(n.hub.move((first + steps - 1) / steps)))
+		n.m.moved.Add(float64(n.hub.move((first + drainSteps - 1) / drainSteps)))
 		<-t.C
 	}
 	n.log.Info("drained", "watches", first, "left", n.hub.watches())
