--- /dev/null
+++ b/internal/control/call.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+// HTTPError is an answer of a steward with a status other than 2xx.
+type HTTPError struct {
+	Status     int
+	Text       string
+	NotApplied bool // the request certainly had no effect and is safe to retry
+}
+
+// Error returns the text of the answer.
+func (e *HTTPError) Error() string { return e.Text }
+
+// call sends a request with a JSON body, or none if body is nil, and decodes the JSON answer
+// into the value that into points to. A *[]byte takes the answer as it is, and nil drops it.
+// An answer with a status other than 2xx is returned as an *HTTPError.
+func call(ctx context.Context, c *http.Client, method, url string, body, into any) error {
+	req, err := newRequest(ctx, method, url, body)
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxSnapshot))
+	if err != nil {
+		return fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return &HTTPError{Status: resp.StatusCode, Text: string(bytes.TrimSpace(text)), NotApplied: resp.Header.Get("Not-Applied") == "1"}
+	}
+	if raw, ok := into.(*[]byte); ok {
+		*raw = text
+		return nil
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s %s: %w", method, url, err)
+	}
+	return nil
+}
+
+func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
+	if body == nil {
+		return http.NewRequestWithContext(ctx, method, url, nil)
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, method, url, bytes.NewReader(text))
+}
+
+// neverSent reports whether a request failed before any of it was sent, which makes it safe
+// to retry.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- /dev/null
+++ b/internal/control/peers.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// statusMaxAge is the longest time for which the statuses of the other stewards are
+	// cached.
+	statusMaxAge = time.Second
+	// statusMinAge is the shortest time between two requests for them.
+	statusMinAge = 100 * time.Millisecond
+)
+
+// statusCache holds the last statuses of the other stewards.
+type statusCache struct {
+	mu    sync.Mutex
+	at    time.Time
+	found []Status
+}
+
+// fresh reports whether the cached statuses are recent enough. If no other steward can serve,
+// they are requested again sooner, as this steward serves a stale list only while that is so.
+func (c *statusCache) fresh(maxAge time.Duration) bool {
+	age := time.Since(c.at)
+	return age < statusMinAge || age < maxAge && anyCanServe(c.found)
+}
+
+// peerStatuses returns the statuses of the other stewards, from the cache while it is fresh.
+// Stewards that don't answer in time are left out.
+func (n *Node) peerStatuses() []Status {
+	c := &n.peerCache
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fresh(min(n.c.StaleAfter/4, statusMaxAge) / 2) {
+		return c.found
+	}
+	c.found = n.requestStatuses()
+	c.at = time.Now()
+	return c.found
+}
+
+// requestStatuses asks all other stewards at once and waits for each to answer or time out.
+func (n *Node) requestStatuses() (found []Status) {
+	ctx, cancel := context.WithTimeout(n.ctx, peerWait)
+	defer cancel()
+	names := n.c.others()
+	answers := make(chan *Status)
+	for _, name := range names {
+		go func() {
+			st, err := n.statusOf(ctx, name)
+			if err != nil {
+				answers <- nil
+				return
+			}
+			answers <- &st
+		}()
+	}
+	for range names {
+		if st := <-answers; st != nil {
+			found = append(found, *st)
+		}
+	}
+	return found
+}
+
+// statusOf requests the status of one steward.
+func (n *Node) statusOf(ctx context.Context, name string) (Status, error) {
+	var st Status
+	p, ok := (*n.table.Load())[name]
+	if !ok {
+		return st, fmt.Errorf("steward %s: not in the table of peers", name)
+	}
+	return st, call(ctx, n.peers, http.MethodGet, "http://"+p.HTTP+"/v1/status", nil, &st)
+}
+
+// betterElsewhere reports whether another steward can serve. If none can, this one's list is
+// as good as any, even if it is stale.
+func (n *Node) betterElsewhere() bool { return anyCanServe(n.peerStatuses()) }
+
+// canServe reports whether a steward has a current list to serve.
+func canServe(st *Status) bool { return st.HasState && !st.Stale && !st.Draining }
+
+// anyCanServe reports whether one of the stewards can serve.
+func anyCanServe(found []Status) bool {
+	for i := range found {
+		if canServe(&found[i]) {
+			return true
+		}
+	}
+	return false
+}
