Measure what one agent costs by the number of servers it knows

bin/lab cost starts a real agent for each of 20 to 39,000 known servers at 115 and 1,150 calls a second, calls it and an emulated server in pairs, and writes results in the capacity format.

--- /dev/null
+++ b/cmd/lab/cost.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"molepaddle/internal/lab/capacity"
+	"molepaddle/internal/lab/cost"
+)
+
+// costCommand measures the agent's own cost.
+func costCommand(out, progress io.Writer) *cobra.Command {
+	options := cost.Options{}
+	var file, profile string
+	cmd := &cobra.Command{Use: "cost", Short: "Measure what one agent costs by the number of servers it knows", Args: cobra.NoArgs,
+		Long: "cost starts a real agent for each number of known servers and each rate, and measures its\n" +
+			"processor time a call, its memory and the latency that it adds: each call is made once\n" +
+			"through the agent and once directly. The figures are those of this machine, which has to\n" +
+			"be idle otherwise. The last line is the verdict: held with exit code 0, or what broke with\n" +
+			"exit code 1. A flag that makes no sense is one line that names it, and exit code 2.",
+		Example: "  lab cost\n  lab cost --servers 20,39000 --rates 115 --for 30s --seed 7 --out docs/capacity/agent-cost.json\n" +
+			"  lab cost --profile found/profiles",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			options.Command = commandLine(&options)
+			options.Progress = func(s cost.Step) { tellStep(progress, s) }
+			if file == "" {
+				file = filepath.Join("found", cost.Experiment+"-"+time.Now().Format("20060102-150405")+".json")
+			}
+			return measureCost(cmd.Context(), out, &options, file, profile)
+		}}
+	flags := cmd.Flags()
+	flags.StringVar(&options.Agent, "agent", "bin/molepaddle", "the agent's program")
+	flags.IntSliceVar(&options.Servers, "servers", []int{20, 200, 2000, 10000, 39000}, "numbers of servers that the agent knows")
+	flags.Float64SliceVar(&options.Rates, "rates", []float64{115, 1150}, "calls a second")
+	flags.DurationVar(&options.Window, "for", 10*time.Second, "how long each number is measured at each rate")
+	flags.Uint64Var(&options.Seed, "seed", 1, "draw arrivals, keys and order from this seed")
+	flags.StringVar(&options.Variant, "variant", "", "what distinguishes this result from others, such as before and after")
+	flags.StringVar(&file, "out", "", "file for the results (default: found/agent-cost-TIME.json)")
+	flags.StringVar(&profile, "profile", "", "folder for CPU profiles of the agent's benchmark, made after the measurement; needs the source tree")
+	return cmd
+}
+
+// measureCost measures, writes the results and prints the verdict last.
+func measureCost(ctx context.Context, out io.Writer, options *cost.Options, file, profile string) error {
+	results, broke, err := cost.Run(ctx, options)
+	if cost.Interrupted(ctx, err) {
+		fmt.Fprintf(out, "%s seed %d: broke: interrupted before its end\n", cost.Experiment, options.Seed)
+		return errBroke
+	}
+	if err != nil {
+		return err
+	}
+	if err := capacity.Write(file, results); err != nil {
+		return fmt.Errorf("--out: %w", err)
+	}
+	fmt.Fprintln(out, "results in", file)
+	if profile != "" {
+		if err := cost.Profile(ctx, profile, options.Servers, out); err != nil {
+			return fmt.Errorf("--profile: %w", err)
+		}
+	}
+	if len(broke) > 0 {
+		fmt.Fprintf(out, "%s seed %d: broke: %s\n", cost.Experiment, options.Seed, strings.Join(broke, "; "))
+		return errBroke
+	}
+	fmt.Fprintf(out, "%s seed %d: held\n", cost.Experiment, options.Seed)
+	return nil
+}
+
+// commandLine repeats a measurement.
+func commandLine(o *cost.Options) string {
+	var servers, rates []string
+	for _, n := range o.Servers {
+		servers = append(servers, strconv.Itoa(n))
+	}
+	for _, rate := range o.Rates {
+		rates = append(rates, strconv.FormatFloat(rate, 'g', -1, 64))
+	}
+	return fmt.Sprintf("bin/lab cost --servers %s --rates %s --for %v --seed %d",
+		strings.Join(servers, ","), strings.Join(rates, ","), o.Window, o.Seed)
+}
+
+// tellStep prints a line when a cell begins and one with its result.
+func tellStep(progress io.Writer, s cost.Step) {
+	if s.Cell == nil {
+		fmt.Fprintf(progress, "[%d/%d] %d servers, %g calls/s ...\n", s.Number, s.Of, s.Servers, s.Rate)
+		return
+	}
+	fmt.Fprintf(progress, "[%d/%d] %v\n", s.Number, s.Of, s.Cell)
+}
--- /dev/null
+++ b/internal/agent/cost_test.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"runtime/pprof"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/internal/lab/cost"
+)
+
+// profiledServers are the numbers of known servers; AGENT_SERVERS names others.
+func profiledServers(b *testing.B) []int {
+	text := os.Getenv("AGENT_SERVERS")
+	if text == "" {
+		return []int{20, 200, 2000, 10000, 39000}
+	}
+	var servers []int
+	for word := range strings.SplitSeq(text, ",") {
+		n, err := strconv.Atoi(word)
+		if err != nil {
+			b.Fatalf("AGENT_SERVERS: %v", err)
+		}
+		servers = append(servers, n)
+	}
+	return servers
+}
+
+// BenchmarkAgentCall makes calls one after the other through an agent that knows so many
+// servers. What belongs to callers and emulated servers carries a label in a CPU profile:
+//
+//	go test ./internal/agent -run '^$' -bench AgentCall/servers=39000 -benchtime 10000x -cpuprofile cpu.pprof
+//	go tool pprof -top -tagignore role=lab agent.test cpu.pprof
+func BenchmarkAgentCall(b *testing.B) {
+	for _, servers := range profiledServers(b) {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) { benchmarkCalls(b, servers) })
+	}
+}
+
+func benchmarkCalls(b *testing.B, servers int) {
+	lab := pprof.WithLabels(context.Background(), pprof.Labels(cost.LabLabel, cost.LabValue))
+	var fleet *cost.Fleet
+	var err error
+	// Goroutines inherit the labels of those that start them.
+	pprof.Do(lab, pprof.Labels(), func(context.Context) { fleet, err = cost.NewFleet(servers) })
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer fleet.Close()
+	base := startFrom(b, fleet)
+	for fleet.Counters.OpenWatches.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	pprof.Do(lab, pprof.Labels(), func(context.Context) { callRepeatedly(b, base) })
+}
+
+// startFrom serves an agent with the configuration of the cost measurement.
+func startFrom(b *testing.B, fleet *cost.Fleet) (base string) {
+	text, err := fleet.AgentConfig("127.0.0.1:0", 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	conf, err := ParseConfig(text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	a, err := New(conf, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.Serve(ctx, ln)
+	}()
+	b.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	return "http://" + ln.Addr().String()
+}
+
+func callRepeatedly(b *testing.B, base string) {
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	served := 0
+	b.ResetTimer()
+	for i := range b.N {
+		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/%s/%x", base, cost.CallClass, i%2000), nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		req.Header.Set("Request-Id", strconv.Itoa(i))
+		req.Header.Set("Request-Timeout", "5000m")
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(served)/float64(b.N), "served/call")
+}
--- /dev/null
+++ b/internal/lab/cost/cost_test.go
@@ -0,0 +1,287 @@
+package cost
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/internal/agent"
+	"molepaddle/internal/endpoints"
+	"molepaddle/internal/lab/capacity"
+)
+
+const testTimeout = time.Minute
+
+func newTestFleet(t *testing.T, servers int) *Fleet {
+	t.Helper()
+	fleet, err := NewFleet(servers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	return fleet
+}
+
+func get(t *testing.T, url string) *http.Response {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	t.Cleanup(cancel)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// Both calls of a pair are drawn from the seed alone, a gap apart, in either order.
+func TestDrawSends(t *testing.T) {
+	const rate, duration = 1000, 10 * time.Second
+	sends, pairs := drawSends(rate, duration, 7)
+	again, _ := drawSends(rate, duration, 7)
+	other, _ := drawSends(rate, duration, 8)
+	if !reflect.DeepEqual(sends, again) || reflect.DeepEqual(sends, other) {
+		t.Error("the sends are not those of their seed")
+	}
+	if mean := rate * duration.Seconds(); math.Abs(float64(pairs)-mean) > 5*math.Sqrt(mean) {
+		t.Errorf("%d pairs, expected about %v", pairs, mean)
+	}
+	if len(sends) != 2*pairs {
+		t.Fatalf("%d sends of %d pairs", len(sends), pairs)
+	}
+	first := map[int]send{}
+	directFirst := 0
+	for i, s := range sends {
+		if i > 0 && s.at < sends[i-1].at {
+			t.Fatalf("send %d goes out before the one before it", i)
+		}
+		before, second := first[s.pair]
+		if !second {
+			first[s.pair] = s
+			if s.route == direct {
+				directFirst++
+			}
+			continue
+		}
+		if s.route == before.route || s.at-before.at != pairGap || s.key != before.key || s.to != before.to {
+			t.Fatalf("no pair: %+v and %+v", before, s)
+		}
+	}
+	if share := float64(directFirst) / float64(pairs); share < 0.45 || share > 0.55 {
+		t.Errorf("the direct call is first in %.2f of the pairs", share)
+	}
+}
+
+func TestSummarize(t *testing.T) {
+	const ms = time.Millisecond
+	outcomes := []pairOutcome{
+		{direct: {latency: 2 * ms, served: true}, throughAgent: {latency: 3 * ms, served: true, late: ms}},
+		{direct: {latency: 4 * ms, served: true}, throughAgent: {latency: 3 * ms, served: true}},
+		{direct: {latency: 2 * ms, served: true}, throughAgent: {latency: 900 * ms}},
+	}
+	s := summarize(outcomes)
+	if s.pairs != 3 || s.directServed != 3 || s.agentServed != 2 {
+		t.Errorf("counted %d pairs, %d direct and %d through the agent", s.pairs, s.directServed, s.agentServed)
+	}
+	if !reflect.DeepEqual(s.added, []float64{-1, 1}) {
+		t.Errorf("added %v ms", s.added)
+	}
+	if most := s.latency[throughAgent].Max(); most > 4000 {
+		t.Errorf("a call that was not served is in the latencies: %d us", most)
+	}
+	if late := s.late.Max(); late < 900 || late > 1100 {
+		t.Errorf("lateness %d us", late)
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	sorted := []float64{-1, 0, 1, 2}
+	for percent, want := range map[float64]float64{0: -1, 50: 1, 99: 2, 100: 2} {
+		if got := quantile(sorted, percent); got != want {
+			t.Errorf("quantile %v is %v, want %v", percent, got, want)
+		}
+	}
+	if got := quantile(nil, 50); got != 0 {
+		t.Errorf("quantile of nothing is %v", got)
+	}
+}
+
+// The names of the list share a few addresses, and the agent takes the configuration.
+func TestFleetList(t *testing.T) {
+	fleet := newTestFleet(t, 100)
+	text, err := fleet.AgentConfig("127.0.0.1:0", 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf, err := agent.ParseConfig(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	names, addresses := map[string]bool{}, map[string]bool{}
+	for _, host := range conf.Known.Hosts {
+		names[host.Host], addresses[host.Dial] = true, true
+	}
+	if conf.BadKnown != nil || len(names) != 100 || len(addresses) != listeners {
+		t.Errorf("%d names at %d addresses, left out: %v", len(names), len(addresses), conf.BadKnown)
+	}
+	if conf.Limits.MemoryMB != 256 || conf.Limits.Sockets != 1024 {
+		t.Errorf("limits are %+v", conf.Limits)
+	}
+}
+
+func TestListService(t *testing.T) {
+	fleet := newTestFleet(t, 30)
+	base := "http://" + fleet.ListAddr + endpoints.Path
+	text, err := io.ReadAll(get(t, base).Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := endpoints.Parse(text)
+	if err != nil || !whole.Whole || len(whole.Hosts) != 30 {
+		t.Fatalf("whole list of %d entries: %v", len(whole.Hosts), err)
+	}
+	for since, entries := range map[int64]int{whole.Seq: 0, 0: 30} {
+		lines := bufio.NewReader(get(t, fmt.Sprintf("%s?follow=1&since=%d", base, since)).Body)
+		first, err := lines.ReadBytes('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		var list endpoints.List
+		if err := json.Unmarshal(first, &list); err != nil || list.Seq != whole.Seq || len(list.Hosts) != entries {
+			t.Errorf("since %d: version %d with %d entries: %v", since, list.Seq, len(list.Hosts), err)
+		}
+		if beat, err := lines.ReadString('\n'); err != nil || beat != "\n" {
+			t.Errorf("since %d: %q in place of a heartbeat: %v", since, beat, err)
+		}
+	}
+	if c := &fleet.Counters; c.WholeLists.Load() != 1 || c.Watches.Load() != 2 {
+		t.Errorf("counted %d whole lists and %d watches", c.WholeLists.Load(), c.Watches.Load())
+	}
+}
+
+// brokenCell is one that holds, until it is changed.
+func brokenCell(change func(pairs []pairOutcome, c *Cell)) []string {
+	pairs := make([]pairOutcome, 100)
+	for i := range pairs {
+		pairs[i] = pairOutcome{direct: {served: true}, throughAgent: {served: true}}
+	}
+	cell := &Cell{}
+	change(pairs, cell)
+	cell.load = summarize(pairs)
+	cell.judge()
+	return cell.Broke
+}
+
+func TestJudge(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func([]pairOutcome, *Cell)
+		say    string
+	}{
+		"held":         {func([]pairOutcome, *Cell) {}, ""},
+		"one unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].served = false }, ""},
+		"two unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].served, p[1][throughAgent].served = false, false }, "served share 0.9800"},
+		"direct":       {func(p []pairOutcome, _ *Cell) { p[0][direct].served = false }, "1 of 100 direct calls"},
+		"memory":       {func(_ []pairOutcome, c *Cell) { c.peakRSSMB = AgentMemoryMB + 1 }, "peak memory 257 MB"},
+		"late": {func(p []pairOutcome, _ *Cell) {
+			p[0][direct].late, p[1][direct].late, p[2][direct].late = 1e9, 1e9, 1e9
+		}, "late at p99"},
+	} {
+		broke := strings.Join(brokenCell(c.change), "; ")
+		if (c.say == "") != (broke == "") || !strings.Contains(broke, c.say) {
+			t.Errorf("%s: broke %q, want %q", name, broke, c.say)
+		}
+	}
+}
+
+func TestValidate(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "agent")
+	if err := os.WriteFile(program, nil, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	good := func() *Options {
+		return &Options{Agent: program, Servers: []int{20}, Rates: []float64{50}, Window: time.Second}
+	}
+	if err := good().Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for flag, changes := range map[string][]func(o *Options){
+		"--servers": {func(o *Options) { o.Servers = nil }, func(o *Options) { o.Servers = []int{0} },
+			func(o *Options) { o.Servers = []int{MaxServers + 1} }, func(o *Options) { o.Servers = make([]int, maxCells+1) }},
+		"--rates": {func(o *Options) { o.Rates = nil }, func(o *Options) { o.Rates = []float64{0} },
+			func(o *Options) { o.Rates = []float64{math.NaN()} }, func(o *Options) { o.Rates = []float64{MaxRate + 1} }},
+		"--for":   {func(o *Options) { o.Window = 0 }, func(o *Options) { o.Window = MaxWindow + 1 }},
+		"--agent": {func(o *Options) { o.Agent = filepath.Dir(program) }, func(o *Options) { o.Agent = program + "-none" }},
+	} {
+		for i, change := range changes {
+			options := good()
+			change(options)
+			if err := options.Validate(); err == nil || !strings.HasPrefix(err.Error(), flag+": ") {
+				t.Errorf("%s, change %d: %v", flag, i, err)
+			}
+		}
+	}
+}
+
+// Numbers of servers that can't be measured are said so, and the others still are.
+func TestNotRunIsSaid(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "agent")
+	if err := os.WriteFile(program, []byte("#!/bin/sh\necho no agent here\nexit 1\n"), 0o755); err != nil {
+		t.Fatal(err)
+	}
+	options := &Options{Agent: program, Servers: []int{1, 2}, Rates: []float64{50}, Window: MinWindow}
+	results, broke, err := Run(context.Background(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(results.Runs) != 2 || len(broke) != 2 {
+		t.Fatalf("%d runs, broke %q", len(results.Runs), broke)
+	}
+	for _, run := range results.Runs {
+		if !strings.Contains(run.NotRun, "no agent here") || len(run.Measurements) != 0 {
+			t.Errorf("not run for %q with %d measurements", run.NotRun, len(run.Measurements))
+		}
+	}
+}
+
+// metric finds a measurement of the agent.
+func metric(t *testing.T, run *capacity.Run, load, name string) float64 {
+	t.Helper()
+	for _, m := range run.Measurements {
+		if m.Role == "agent" && m.Load == load && m.Metric == name {
+			return m.Value
+		}
+	}
+	t.Errorf("no %s under %s", name, load)
+	return math.NaN()
+}
+
+func TestAddTo(t *testing.T) {
+	pairs := make([]pairOutcome, 200)
+	for i := range pairs {
+		pairs[i] = pairOutcome{direct: {served: true, latency: 2 * time.Millisecond}, throughAgent: {served: true, latency: 5 * time.Millisecond}}
+	}
+	cell := &Cell{Rate: 115, cpu: 100 * time.Millisecond, cores: 0.1, counts: counts{probes: 20, connections: 400}, load: summarize(pairs)}
+	var run capacity.Run
+	cell.addTo(&run)
+	for name, want := range map[string]float64{"calls": 200, "served_share": 1, "cpu_ms_per_call": 0.5, "cpu_cores": 0.1,
+		"idle_cpu_cores": 0, "rss_mb": 0, "peak_rss_mb": 0, "direct_p50_ms": 2, "direct_p99_ms": 2, "agent_p50_ms": 5, "agent_p99_ms": 5,
+		"added_p50_ms": 3, "added_p99_ms": 3, "added_paired_p50_ms": 3, "added_paired_p99_ms": 3, "connections_per_call": 2, "probes_per_call": 0.1} {
+		if got := metric(t, &run, "115 calls/s", name); math.Abs(got-want) > 0.01 {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
