--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -49,7 +49,7 @@
 			"injects the faults of an experiment's timeline and checks the rules by what servers\n" +
 			"and clients saw. Everything is on loopback addresses and ends with the lab."}
 	root.SetOut(out)
-	root.AddCommand(runCommand(out, progress), listCommand(out), validateCommand(out), compareCommand(out), mutantsCommand(out), workerCommand())
+	root.AddCommand(runCommand(out, progress), listCommand(out), validateCommand(out), compareCommand(out), mutantsCommand(out), workerCommand(), hollowCommand(out))
 	return root
 }
 
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -127,6 +127,9 @@
 	AtMost   *float64 `koanf:"at_most"`
 }
 
+// Default is the experiment of an empty file.
+func Default() Config { return defaults() }
+
 // Defaults are those of a deployment like the operators' own.
 func defaults() Config {
 	return Config{Seed: 1, Warmup: 2 * time.Second, Lateness: 10 * time.Millisecond,
--- a/internal/lab/experiment/world.go
+++ b/internal/lab/experiment/world.go
@@ -426,23 +426,32 @@
 	return path, nil
 }
 
-// configure writes an agent's configuration, and notes what it tells.
-func (l *lane) configure(a *agentProcess, starts bool) error {
-	set := l.c.settings()
-	set.Index, set.Zone = a.index, a.index%len(l.c.Zones)
+// AgentSettings is the "settings" of an agent's configuration, in the form that it takes.
+func (c *Config) AgentSettings(index int) (map[string]any, error) {
+	set := c.settings()
+	set.Index, set.Zone = index, index%len(c.Zones)
 	text, err := json.Marshal(set)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	var settings map[string]any
 	if err := json.Unmarshal(text, &settings); err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return nil, fmt.Errorf("settings: %w", err)
 	}
 	var kinds []string
-	for _, k := range l.c.Servers.Kind {
+	for _, k := range c.Servers.Kind {
 		kinds = append(kinds, k.Name)
 	}
-	settings["failureDomains"], settings["shapes"], settings["family"] = l.c.Zones, kinds, "mesh"
+	settings["failureDomains"], settings["shapes"], settings["family"] = c.Zones, kinds, "mesh"
+	return settings, nil
+}
+
+// configure writes an agent's configuration, and notes what it tells.
+func (l *lane) configure(a *agentProcess, starts bool) error {
+	settings, err := l.c.AgentSettings(a.index)
+	if err != nil {
+		return err
+	}
 	known := endpoints.List{Seq: 0, Whole: true, Hosts: []endpoints.Host{}}
 	if l.c.Agents.Known == "now" {
 		known = l.disc.List(a.index, 0, true)
@@ -460,7 +469,7 @@
 	if l.list != nil {
 		conf["stewards"], conf["log_level"] = a.lists, "debug" // which tells when it takes a list
 	}
-	text, err = json.MarshalIndent(conf, "", " ")
+	text, err := json.MarshalIndent(conf, "", " ")
 	if err != nil {
 		return fmt.Errorf("agent configuration: %w", err)
 	}
--- /dev/null
+++ b/internal/lab/hollow/serve.go
@@ -0,0 +1,57 @@
+package hollow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// maxCommand bounds the body of a command.
+const maxCommand = 64 << 10
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// Serve offers a process's state and commands on a loopback address until the context ends.
+func Serve(ctx context.Context, address string, handler http.Handler) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("--listen: no address with a port: %q", address)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("--listen: must be a loopback address, is %q", address)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("--listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Call sends a command to a hollow process, or asks for its state, and decodes the answer.
+func Call(ctx context.Context, method, url string, body, into any) error {
+	request, err := newRequest(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("hollow process: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("hollow process: %s %s: %s", method, request.URL.Path, response.Status)
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return fmt.Errorf("hollow process: answer: %w", err)
+	}
+	return nil
+}
