--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -23,6 +23,7 @@
 
 	"molepaddle/internal/lab/experiment"
 	"molepaddle/internal/lab/report"
+	"molepaddle/internal/lab/scale"
 )
 
 // errBroke is a run that did not hold; its verdict is printed already.
@@ -62,6 +63,9 @@
 			"makes no sense is one line that names the key, and exit code 2.",
 		Example: "  lab run experiments/steady.toml\n  lab run experiments/herd.toml --seed 7 --out /tmp/herd-7 --quiet",
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if scale.Is(args[0]) {
+				return runScale(cmd.Context(), out, progress, args[0], o, quiet)
+			}
 			c, err := experiment.Load(args[0])
 			if err != nil {
 				return err
@@ -176,6 +180,10 @@
 			}
 			sort.Strings(files)
 			for _, f := range files {
+				if scale.Is(f) {
+					listScale(out, f)
+					continue
+				}
 				c, err := experiment.Load(f)
 				if err != nil {
 					fmt.Fprintf(out, "%-28s cannot be read: %v\n", filepath.Base(f), err)
@@ -196,6 +204,14 @@
 		Example: "  lab validate experiments/*.toml",
 		RunE: func(_ *cobra.Command, args []string) error {
 			for _, f := range args {
+				if scale.Is(f) {
+					c, err := scale.Load(f)
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(out, "%s: %s is fine\n", f, c.Name)
+					continue
+				}
 				c, err := experiment.Load(f)
 				if err != nil {
 					return err
@@ -210,6 +226,9 @@
 	return &cobra.Command{Use: "compare DIR DIR", Short: "Set two results side by side", Args: cobra.ExactArgs(2),
 		Example: "  lab compare found/steady-before found/steady-after",
 		RunE: func(_ *cobra.Command, args []string) error {
+			if isScale(args[0]) && isScale(args[1]) {
+				return compareScale(out, args[0], args[1])
+			}
 			a, err := report.Read(args[0])
 			if err != nil {
 				return err
--- /dev/null
+++ b/cmd/lab/scale.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"molepaddle/internal/lab/capacity"
+	"molepaddle/internal/lab/experiment"
+	"molepaddle/internal/lab/scale"
+)
+
+// runScale plays an experiment that has a [scale] table.
+func runScale(ctx context.Context, out, progress io.Writer, path string, o experiment.Options, quiet bool) error {
+	config, err := scale.Load(path)
+	if err != nil {
+		return err
+	}
+	seed := o.Seed
+	if seed == 0 {
+		seed = config.Seed
+	}
+	options := scale.Options{Seed: seed, Out: o.Out, Command: fmt.Sprintf("bin/lab run %s --seed %d", path, seed)}
+	if options.Out == "" {
+		options.Out = filepath.Join("found", fmt.Sprintf("%s-%s", config.Name, time.Now().Format("20060102-150405")))
+	}
+	began := time.Now()
+	if !quiet {
+		options.Progress = func(line string) { fmt.Fprintf(progress, "%6.1f s  %s\n", time.Since(began).Seconds(), line) }
+	}
+	results, broke, err := scale.Run(ctx, config, options)
+	if errors.Is(err, scale.ErrInterrupted) {
+		fmt.Fprintf(out, "%s seed %d: broke: %v\n", config.Name, seed, err)
+		return errBroke
+	}
+	if err != nil {
+		return err
+	}
+	if !quiet {
+		if err := scale.Table(out, results); err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "\nlab: results in %s\n", filepath.Join(options.Out, scale.ResultsFile))
+	}
+	if len(broke) > 0 {
+		fmt.Fprintf(out, "%s seed %d: broke: %s\n", config.Name, seed, strings.Join(broke, "; "))
+		return errBroke
+	}
+	fmt.Fprintf(out, "%s seed %d: held\n", config.Name, seed)
+	return nil
+}
+
+// listScale prints the line of a scale run among the experiments of a folder.
+func listScale(out io.Writer, path string) {
+	config, err := scale.Load(path)
+	if err != nil {
+		fmt.Fprintf(out, "%-28s cannot be read: %v\n", filepath.Base(path), err)
+		return
+	}
+	about, _, _ := strings.Cut(strings.TrimSpace(config.About), "\n")
+	sizes := config.Scale.Sizes
+	fmt.Fprintf(out, "%-28s scale  %3d sizes, to %d servers  %s\n", filepath.Base(path), len(sizes), sizes[len(sizes)-1].Servers, about)
+}
+
+// isScale tells whether a folder holds the results of a scale run.
+func isScale(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, scale.ResultsFile))
+	return err == nil
+}
+
+// compareScale sets the results of two scale runs side by side.
+func compareScale(out io.Writer, first, second string) error {
+	a, err := capacity.Read(filepath.Join(first, scale.ResultsFile))
+	if err != nil {
+		return err
+	}
+	b, err := capacity.Read(filepath.Join(second, scale.ResultsFile))
+	if err != nil {
+		return err
+	}
+	return scale.Compare(out, a, b)
+}
--- /dev/null
+++ b/internal/lab/scale/measure.go
@@ -0,0 +1,242 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"molepaddle/internal/lab/capacity"
+	"molepaddle/internal/lab/hollow"
+	"molepaddle/internal/lab/process"
+)
+
+// The roles of measurements.
+const (
+	roleLeader   = "steward leader"
+	roleFollower = "steward follower" // mean of them
+	roleReader   = "hollow agent"     // a reader: the processes' figures by their number of readers
+	roleServer   = "hollow server"    // a server: the process's figures by its number of servers
+	roleAgent    = "real agent"       // mean
+	roleRequests = "requests"
+	roleReaders  = "readers" // all hollow agents
+)
+
+// linesSent is the steward's own count of changes that it wrote to watches.
+const linesSent = "steward_lines_sent_total"
+
+// sample is all counts at one moment.
+type sample struct {
+	at      time.Time
+	cpu     map[*process.Process]time.Duration
+	readers hollow.AgentsState
+	servers hollow.ServersState
+	agents  map[string]hollow.Traffic // of real agents, by steward
+	lines   []float64                 // by steward
+	applied uint64                    // the last log entry that is applied
+}
+
+func (f *fleet) take(ctx context.Context, ages bool) (*sample, error) {
+	s := &sample{cpu: map[*process.Process]time.Duration{}, agents: map[string]hollow.Traffic{}, lines: make([]float64, len(f.stewards))}
+	var err error
+	if s.readers, err = f.readersState(ctx, hollow.Expectation{}, ages); err != nil {
+		return nil, err
+	}
+	if s.servers, err = f.serversState(ctx); err != nil {
+		return nil, err
+	}
+	for i := range f.stewards {
+		if text, err := f.get(ctx, i, "/metrics"); err == nil {
+			s.lines[i] = metric(text, linesSent)
+		}
+	}
+	if leader := f.leader(ctx); leader >= 0 {
+		if status, err := f.status(ctx, leader); err == nil {
+			s.applied = status.Applied
+		}
+	}
+	for _, forwarder := range f.forwarders {
+		s.agents[forwarder.target] = forwarder.read()
+	}
+	s.at = time.Now()
+	for _, p := range f.supervisor.All() {
+		_, peak, _ := p.Look()
+		s.cpu[p] = peak.CPU // of all its runs
+	}
+	return s, nil
+}
+
+// metric finds a metric without labels in the text form of Prometheus.
+func metric(text []byte, name string) float64 {
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			number, _ := strconv.ParseFloat(value, 64)
+			return number
+		}
+	}
+	return 0
+}
+
+// measurement is the difference between two samples, as it goes into the results.
+type measurement struct {
+	fleet         *fleet
+	run           *capacity.Run
+	load          string
+	before, after *sample
+	seconds       float64
+}
+
+func (m *measurement) add(role, metric string, value float64) {
+	m.run.Add(role, m.load, metric, value)
+}
+
+func (m *measurement) cores(p *process.Process) float64 {
+	return (m.after.cpu[p] - m.before.cpu[p]).Seconds() / m.seconds
+}
+
+func residentMB(p *process.Process) float64 {
+	now, _, _ := p.Look()
+	return now.RSSMB
+}
+
+// addAll adds the figures of all roles.
+func (m *measurement) addAll(leader int, requests requestFigures) {
+	m.addStewards(leader)
+	m.addReaders()
+	m.addServers()
+	m.addAgents()
+	if requests.asked > 0 {
+		m.add(roleRequests, "served_share", float64(requests.served)/float64(requests.asked))
+		m.add(roleRequests, "p50_ms", requests.p50Ms)
+		m.add(roleRequests, "p99_ms", requests.p99Ms)
+	}
+}
+
+// addStewards adds what stewards spent. Bytes and calls are those of readers, real agents
+// and servers as counted there; what stewards tell each other is not in them.
+func (m *measurement) addStewards(leader int) {
+	var followers []int
+	for i := range m.fleet.stewards {
+		if i != leader {
+			followers = append(followers, i)
+		}
+	}
+	if leader >= 0 {
+		m.addSteward(roleLeader, []int{leader})
+	}
+	if len(followers) > 0 {
+		m.addSteward(roleFollower, followers)
+	}
+	if m.after.applied >= m.before.applied {
+		m.add(roleLeader, "log_entries", float64(m.after.applied-m.before.applied))
+	}
+}
+
+func (m *measurement) addSteward(role string, indexes []int) {
+	var cores, resident, lines float64
+	var traffic hollow.Traffic
+	for _, i := range indexes {
+		p, address := m.fleet.stewards[i], m.fleet.stewardsAt[i]
+		cores += m.cores(p)
+		resident += residentMB(p)
+		if grown := m.after.lines[i] - m.before.lines[i]; grown >= 0 {
+			lines += grown
+		} else {
+			lines += m.after.lines[i] // it was started again
+		}
+		traffic.Add(m.after.readers.ByAddress[address].Sub(m.before.readers.ByAddress[address]))
+		traffic.Add(m.after.servers.ByAddress[address].Sub(m.before.servers.ByAddress[address]))
+		traffic.Add(m.after.agents[address].Sub(m.before.agents[address]))
+	}
+	count := float64(len(indexes))
+	m.add(role, "cpu_cores", cores/count)
+	m.add(role, "rss_mb", resident/count)
+	m.add(role, "bytes_in_per_second", float64(traffic.BytesOut)/count/m.seconds)
+	m.add(role, "bytes_out_per_second", float64(traffic.BytesIn)/count/m.seconds)
+	m.add(role, "calls_per_second", float64(traffic.Calls)/count/m.seconds)
+	m.add(role, "lines_per_second", lines/count/m.seconds)
+	m.add(role, "refused_calls", float64(traffic.Refused)/count)
+}
+
+func (m *measurement) addReaders() {
+	count := float64(m.after.readers.Agents)
+	var cores, resident float64
+	for _, p := range m.fleet.readers {
+		cores += m.cores(p)
+		resident += residentMB(p)
+	}
+	traffic := m.after.readers.Total.Sub(m.before.readers.Total)
+	m.add(roleReader, "cpu_cores", cores/count)
+	m.add(roleReader, "rss_mb", resident/count)
+	m.addTraffic(roleReader, traffic, count)
+	m.add(roleReader, "lines_per_second", float64(m.after.readers.Lines-m.before.readers.Lines)/count/m.seconds)
+	m.add(roleReaders, "refused_calls", float64(traffic.Refused))
+	if m.after.readers.Changes > 0 {
+		m.add(roleReaders, "change_p50_ms", float64(m.after.readers.ChangeP50Ms))
+		m.add(roleReaders, "change_p99_ms", float64(m.after.readers.ChangeP99Ms))
+		m.add(roleReaders, "change_last_ms", float64(m.after.readers.ChangeLastMs))
+	}
+}
+
+// addTraffic adds the calls and bytes of one of so many.
+func (m *measurement) addTraffic(role string, traffic hollow.Traffic, count float64) {
+	m.add(role, "bytes_in_per_second", float64(traffic.BytesIn)/count/m.seconds)
+	m.add(role, "bytes_out_per_second", float64(traffic.BytesOut)/count/m.seconds)
+	m.add(role, "calls_per_second", float64(traffic.Calls)/count/m.seconds)
+}
+
+func (m *measurement) addServers() {
+	count := float64(m.after.servers.Servers)
+	traffic := m.after.servers.Total.Sub(m.before.servers.Total)
+	m.add(roleServer, "cpu_cores", m.cores(m.fleet.servers)/count)
+	m.add(roleServer, "rss_mb", residentMB(m.fleet.servers)/count)
+	m.addTraffic(roleServer, traffic, count)
+	m.add(roleServer, "refused_calls", float64(traffic.Refused))
+}
+
+func (m *measurement) addAgents() {
+	count := float64(len(m.fleet.agents))
+	if count == 0 {
+		return
+	}
+	var cores, resident float64
+	for _, p := range m.fleet.agents {
+		cores += m.cores(p)
+		resident += residentMB(p)
+	}
+	var traffic hollow.Traffic
+	for address, after := range m.after.agents {
+		traffic.Add(after.Sub(m.before.agents[address]))
+	}
+	m.add(roleAgent, "cpu_cores", cores/count)
+	m.add(roleAgent, "rss_mb", resident/count)
+	m.addTraffic(roleAgent, traffic, count)
+}
+
+// addSizes adds the sizes of the state and of the whole list at the leader.
+func (m *measurement) addSizes(ctx context.Context, leader int) error {
+	if leader < 0 {
+		return nil
+	}
+	for path, metric := range map[string]string{"/v1/snapshot": "snapshot_bytes", "/v1/endpoints": "list_bytes"} {
+		text, err := m.fleet.getAdmitted(ctx, leader, path)
+		if err != nil {
+			return fmt.Errorf("%s: %w", metric, err)
+		}
+		m.add(roleLeader, metric, float64(len(text)))
+	}
+	return nil
+}
+
+// getAdmitted reads from a steward, and asks again while it has too many calls.
+func (f *fleet) getAdmitted(ctx context.Context, i int, path string) (text []byte, err error) {
+	poll(ctx, startWithin, func() bool {
+		text, err = f.get(ctx, i, path)
+		return err == nil
+	})
+	return text, err
+}
