--- a/internal/lab/scale/requests.go
+++ b/internal/lab/scale/requests.go
@@ -48,7 +48,8 @@
 		case <-ctx.Done():
 			return
 		}
-		r.wait.Go(func() { r.ask(ctx, agent, serial, due) })
+		at := due
+		r.wait.Go(func() { r.ask(ctx, agent, serial, at) })
 		due = due.Add(pause)
 		timer.Reset(time.Until(due))
 	}
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -409,7 +409,7 @@
 // zoneLost has a part of the servers as large as a zone fall silent, and come back.
 func (p *play) zoneLost(ctx context.Context) error {
 	f := p.fleet
-	zone := hollow.Range{Count: p.size.Servers / hollow.Zones}
+	zone := hollow.ZoneRange(0, p.size.Servers)
 	var gone, back time.Duration
 	m, err := p.measured(ctx, ZoneLost, func() error {
 		if err := f.command(ctx, "/v1/silence", zone, &zone); err != nil {
