--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
-# Two commands: `make demo` shows the fleet at work, `make test` passes the tests.
-.PHONY: build demo test
+# `make demo` shows the fleet at work, `make test` passes the tests, `make scale` measures
+# what each role spends as the fleet grows.
+.PHONY: build demo scale test
 
 build:
 	mkdir -p bin
@@ -8,5 +9,8 @@
 demo: build
 	bin/lab run experiments/demo.toml --out found/demo
 
+scale: build
+	bin/lab run experiments/fleet-ahead-small.toml --out found/scale
+
 test:
 	.ci/run
--- /dev/null
+++ b/cmd/lab/scale_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// scaleFile writes an experiment with a [scale] table, with more lines in it.
+func scaleFile(t *testing.T, lines string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "tiny-scale.toml")
+	text := "name = \"tiny-scale\"\nabout = \"A tiny fleet.\"\n[scale]\nsizes = [{ servers = 30, watches = 2, services = 3 }]\n" + lines
+	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// What makes no sense in a scale run or a hollow process is one line that names the key or
+// the flag, and exit code 2.
+func TestBadScaleInput(t *testing.T) {
+	for _, c := range []struct {
+		name, says string
+		args       []string
+	}{
+		{"unknown key", "scale.sizez: unknown key", []string{"validate", scaleFile(t, "sizez = 3\n")}},
+		{"bad key", "scale.renew: must be 10ms to 1m", []string{"run", scaleFile(t, "renew = \"1ms\"\n")}},
+		{"bad setting of stewards", "scale.steward: configuration: lease_ttl", []string{"run", scaleFile(t, "steward_command = \"/bin/true\"\n[scale.steward]\nlease_ttl = \"1ms\"\n")}},
+		{"no steward", "scale.steward_command: bin/none: no program there", []string{"run", scaleFile(t, "steward_command = \"bin/none\"\n")}},
+		{"out not writable", "--out: mkdir /dev/null", []string{"run", scaleFile(t, ""), "--out", "/dev/null/results"}},
+		{"no stewards", "--stewards: missing", []string{"hollow", "agents", "--count", "1"}},
+		{"no agents", "--count: must be 1 to", []string{"hollow", "agents", "--stewards", "127.0.0.1:1"}},
+		{"no time between renewals", "--renew: must be 10ms to 1m", []string{"hollow", "servers", "--stewards", "127.0.0.1:1", "--count", "1", "--renew", "0"}},
+		{"state offered to all", "--listen: must be a loopback address", []string{"hollow", "agents", "--stewards", "127.0.0.1:1", "--count", "1", "--listen", "0.0.0.0:0"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.args[0] == "run" && !strings.Contains(strings.Join(c.args, " "), "--out") {
+				c.args = append(c.args, "--quiet", "--out", t.TempDir())
+			}
+			ch := lab(t, c.args...)
+			code := ch.code()
+			if said := ch.err.String(); code != 2 || strings.Count(said, "\n") != 1 || !strings.Contains(said, c.says) || !strings.HasPrefix(said, "lab: ") {
+				t.Errorf("exit %d, said %q; want one line with %q", code, said, c.says)
+			}
+		})
+	}
+}
+
+// Scale runs stand among the experiments and are checked as they are.
+func TestScaleListed(t *testing.T) {
+	path := scaleFile(t, "")
+	c := lab(t, "validate", path)
+	if code := c.code(); code != 0 || c.out.String() != path+": tiny-scale is fine\n" {
+		t.Errorf("exit %d, said %q %q", code, c.out.String(), c.err.String())
+	}
+	c = lab(t, "list", "--dir", filepath.Dir(path))
+	if code := c.code(); code != 0 || !strings.Contains(c.out.String(), "scale    1 sizes, to 30 servers  A tiny fleet.") {
+		t.Errorf("exit %d, said %q %q", code, c.out.String(), c.err.String())
+	}
+}
--- a/internal/lab/hollow/agent.go
+++ b/internal/lab/hollow/agent.go
@@ -144,6 +144,7 @@
 	if list.Seq < a.version {
 		return
 	}
+	a.process.counts.entries.Add(int64(len(list.Hosts)))
 	if list.Whole {
 		a.process.counts.wholeLists.Add(1)
 	}
--- a/internal/lab/hollow/agents.go
+++ b/internal/lab/hollow/agents.go
@@ -96,7 +96,7 @@
 	began   time.Time
 	beganMs float64
 	counts  struct {
-		lines, wholeLists, versions, watchesEnded, failovers atomic.Int64
+		lines, entries, wholeLists, versions, watchesEnded, failovers atomic.Int64
 	}
 
 	running sync.WaitGroup
@@ -253,7 +253,8 @@
 	Agents         int                    `json:"agents"`
 	WatchesOpen    int                    `json:"watches_open"` // served at their present address
 	WatchesEnded   int64                  `json:"watches_ended"`
-	Lines          int64                  `json:"lines"` // lists and changes, not the empty lines of a quiet watch
+	Lines          int64                  `json:"lines"`   // lists and changes, not the empty lines of a quiet watch
+	Entries        int64                  `json:"entries"` // parsed and taken into tables
 	WholeLists     int64                  `json:"whole_lists"`
 	Versions       int64                  `json:"versions"` // lines that brought a later version
 	Failovers      int64                  `json:"failovers"`
@@ -281,6 +282,7 @@
 		Agents:       len(p.agents),
 		WatchesEnded: p.counts.watchesEnded.Load(),
 		Lines:        p.counts.lines.Load(),
+		Entries:      p.counts.entries.Load(),
 		WholeLists:   p.counts.wholeLists.Load(),
 		Versions:     p.counts.versions.Load(),
 		Failovers:    p.counts.failovers.Load(),
--- /dev/null
+++ b/internal/lab/hollow/change_test.go
@@ -0,0 +1,62 @@
+package hollow
+
+import (
+	"testing"
+	"time"
+
+	"molepaddle/internal/endpoints"
+)
+
+// A share tells when it was sent, to the millisecond, also across the wrap of its window.
+func TestAgeOfShare(t *testing.T) {
+	wrap := time.UnixMilli(1_796_186_000_000) // a multiple of the window
+	for _, sent := range []time.Time{wrap.Add(-3 * time.Millisecond), wrap.Add(time.Millisecond), wrap.Add(123_456 * time.Millisecond)} {
+		for _, age := range []time.Duration{0, time.Millisecond, 7 * time.Second, 10 * time.Minute} {
+			got, ok := ageOfShare(shareAt(sent), sent.Add(age))
+			if !ok || got != age {
+				t.Errorf("sent at %v, read %v later: age %v, %v", sent.UnixMilli(), age, got, ok)
+			}
+		}
+	}
+	for _, share := range []float64{baseShare, 0, 0.5, 2, 100} {
+		if age, ok := ageOfShare(share, wrap); ok {
+			t.Errorf("share %v carries no time, read as %v ago", share, age)
+		}
+	}
+}
+
+// Ages are told of restarts, configuration changes and returns, and of nothing else.
+func TestAgesOf(t *testing.T) {
+	now := time.UnixMilli(1_796_186_400_000)
+	old := endpoints.Host{Host: "a", Health: endpoints.Ready, Share: baseShare, BornMs: float64(now.Add(-time.Hour).UnixMilli())}
+	restarted, configured, both, gone := old, old, old, old
+	restarted.BornMs = float64(now.Add(-40 * time.Millisecond).UnixMilli())
+	configured.Share = shareAt(now.Add(-30 * time.Millisecond))
+	both.BornMs, both.Share = restarted.BornMs, configured.Share
+	gone.Health = endpoints.Gone
+	for _, c := range []struct {
+		name          string
+		before, after endpoints.Host
+		want          []time.Duration
+	}{
+		{"nothing", old, old, nil},
+		{"a restart", old, restarted, []time.Duration{40 * time.Millisecond}},
+		{"a configuration change", old, configured, []time.Duration{30 * time.Millisecond}},
+		{"both in one line", old, both, []time.Duration{40 * time.Millisecond, 30 * time.Millisecond}},
+		{"an end", old, gone, nil},
+		{"a return", endpoints.Host{}, restarted, []time.Duration{40 * time.Millisecond}},
+		{"a return with a share from before", endpoints.Host{}, both, []time.Duration{40 * time.Millisecond}},
+		{"an old server that was not known", endpoints.Host{}, old, nil},
+	} {
+		got := agesOf(&c.before, &c.after, now)
+		if len(got) != len(c.want) {
+			t.Errorf("%s: ages %v, want %v", c.name, got, c.want)
+			continue
+		}
+		for i := range got {
+			if got[i] != c.want[i] {
+				t.Errorf("%s: ages %v, want %v", c.name, got, c.want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/hollow_test.go
@@ -0,0 +1,125 @@
+package hollow
+
+import (
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/internal/endpoints"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func goodAgents() AgentsConfig {
+	return AgentsConfig{Stewards: []string{"127.0.0.1:1"}, Count: 3, Services: 10, Subscribed: 4, Seed: 7}
+}
+
+func goodServers() ServersConfig {
+	return ServersConfig{Stewards: []string{"127.0.0.1:1"}, Count: 100, Services: 10, Renew: time.Second, RenewBatch: 1}
+}
+
+// What makes no sense is one line that names the flag.
+func TestValidate(t *testing.T) {
+	agents := func(change func(*AgentsConfig)) error {
+		c := goodAgents()
+		change(&c)
+		return c.Validate()
+	}
+	servers := func(change func(*ServersConfig)) error {
+		c := goodServers()
+		change(&c)
+		return c.Validate()
+	}
+	for flag, err := range map[string]error{
+		"--stewards":   agents(func(c *AgentsConfig) { c.Stewards = nil }),
+		"--stewards:":  agents(func(c *AgentsConfig) { c.Stewards = []string{"nowhere"} }),
+		"--count":      agents(func(c *AgentsConfig) { c.Count = MaxAgents + 1 }),
+		"--first":      agents(func(c *AgentsConfig) { c.First = -1 }),
+		"--fleet":      agents(func(c *AgentsConfig) { c.Fleet = -1 }),
+		"--spread":     agents(func(c *AgentsConfig) { c.Spread = -1 }),
+		"--subscribed": agents(func(c *AgentsConfig) { c.Subscribed = 11 }),
+		"--source":     agents(func(c *AgentsConfig) { c.Sources = []string{"10.0.0.1"} }),
+
+		"--services":     servers(func(c *ServersConfig) { c.Services = 101 }),
+		"--renew:":       servers(func(c *ServersConfig) { c.Renew = 0 }),
+		"--renew-batch":  servers(func(c *ServersConfig) { c.RenewBatch = 0 }),
+		"--emulated":     servers(func(c *ServersConfig) { c.Emulated = maxEmulated + 1 }),
+		"--service-time": servers(func(c *ServersConfig) { c.ServiceTime = -1 }),
+	} {
+		if err == nil || !strings.HasPrefix(err.Error(), flag) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: said %v", flag, err)
+		}
+	}
+	if err := agents(func(*AgentsConfig) {}); err != nil {
+		t.Error(err)
+	}
+	if err := servers(func(*ServersConfig) {}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Subscriptions are drawn from the seed, as many as asked for, each service once.
+func TestSubscription(t *testing.T) {
+	first, err := NewAgents(goodAgents(), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := NewAgents(goodAgents(), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, agent := range first.agents {
+		if !slices.Equal(agent.services, again.agents[i].services) {
+			t.Errorf("agent %d subscribes to %v and to %v", i, agent.services, again.agents[i].services)
+		}
+		if unique := slices.Compact(slices.Clone(agent.services)); len(unique) != 4 {
+			t.Errorf("agent %d subscribes to %v", i, agent.services)
+		}
+	}
+	if slices.Equal(first.agents[0].services, first.agents[1].services) {
+		t.Errorf("two agents subscribe to the same %v", first.agents[0].services)
+	}
+}
+
+// Each zone is a range of servers, and the ranges hold each server once.
+func TestZones(t *testing.T) {
+	for _, count := range []int{22, 100, 220, 1000, 39_000} {
+		next := 0
+		for zone := range Zones {
+			r := ZoneRange(zone, count)
+			if r.First != next || r.Count < count/Zones || r.Count > count/Zones+1 {
+				t.Errorf("of %d servers zone %d has %+v after %d", count, zone, r, next)
+			}
+			for i := r.First; i < r.First+r.Count; i++ {
+				if zoneOf(i, count) != zone {
+					t.Errorf("of %d servers %d is in zone %d, not %d", count, i, zoneOf(i, count), zone)
+				}
+			}
+			next = r.First + r.Count
+		}
+		if next != count {
+			t.Errorf("zones hold %d of %d servers", next, count)
+		}
+	}
+}
+
+// A whole list stands in place of the table, a change is merged into it.
+func TestLearn(t *testing.T) {
+	a := &Agent{table: map[string]endpoints.Host{}}
+	learn := func(whole bool, hosts ...endpoints.Host) {
+		a.learn(&endpoints.List{Whole: whole, Hosts: hosts}, time.Now())
+	}
+	ready := func(name string) endpoints.Host { return endpoints.Host{Host: name, Health: endpoints.Ready} }
+	learn(true, ready("a"), ready("b"), ready("c"))
+	learn(false, endpoints.Host{Host: "a", Health: endpoints.Gone}, endpoints.Host{Host: "b", Health: endpoints.Draining}, ready("d"))
+	if len(a.table) != 3 || a.table["b"].Health != endpoints.Draining || a.table["d"].Host == "" || a.table["a"].Host != "" {
+		t.Errorf("after a change the table is %v", a.table)
+	}
+	learn(true, ready("d"), ready("e"))
+	if len(a.table) != 2 || a.table["d"].Host == "" || a.table["e"].Host == "" {
+		t.Errorf("after a whole list the table is %v", a.table)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/beside_test.go
@@ -0,0 +1,326 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/endpoints"
+	"molepaddle/internal/lab/hollow"
+	"molepaddle/internal/lab/loopback"
+	"molepaddle/internal/lab/process"
+)
+
+// TestMain makes the test binary a process of one hollow agent when it is started as one.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "hollow-agent" {
+		if err := hollowAgent(os.Args[2], os.Args[3]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	code := m.Run()
+	if dir, err := programs(); err == nil {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+func hollowAgent(steward, listen string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	config := hollow.AgentsConfig{Stewards: []string{steward}, Count: 1, Fleet: 2, Services: 1, Seed: 5}
+	agents, err := hollow.NewAgents(config, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	if err != nil {
+		return err
+	}
+	if err := hollow.Serve(ctx, listen, agents.Handler()); err != nil {
+		return err
+	}
+	agents.Run(ctx)
+	return nil
+}
+
+// programs builds the real steward and the real agent once, into a folder.
+var programs = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "scale-programs-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir, "molepaddle/cmd/steward", "molepaddle/cmd/molepaddle").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return dir, nil
+})
+
+// testFleet is one steward with registered hollow servers that live in this process.
+func testFleet(t *testing.T, servers int) (*fleet, *hollow.Servers) {
+	t.Helper()
+	dir, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := defaults()
+	config.Scale.Stewards, config.Scale.RealAgents = 1, 1
+	config.Scale.StewardCommand, config.Scale.AgentCommand = filepath.Join(dir, "steward"), filepath.Join(dir, "molepaddle")
+	f, err := newFleet(&config, Size{Servers: servers, Watches: 1, Services: 1}, 1, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.close)
+	if err := f.startStewards(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s, err := hollow.NewServers(hollow.ServersConfig{Stewards: f.stewardsAt, Count: servers, Services: 1, Seed: 1,
+		Renew: 2 * time.Second, RenewBatch: 1, Emulated: 1}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { s.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	if r := s.Register(t.Context(), hollow.Range{Count: servers}); r.Servers != servers || r.Refused != "" {
+		t.Fatalf("registered %+v", r)
+	}
+	return f, s
+}
+
+// taken is a line of the real agent's log: it took a list or a change.
+var taken = regexp.MustCompile(`msg="list taken".* version=(\d+) entries=(\d+)`)
+
+// realReader is what a real agent took, by its log.
+type realReader struct{ lines, entries, version int64 }
+
+func readRealAgent(t *testing.T, path string) (r realReader) {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		match := taken.FindStringSubmatch(lines.Text())
+		if match != nil && match[1] != "0" { // that is the list of its configuration, which nobody sent
+			r.lines++
+			r.version, _ = strconv.ParseInt(match[1], 10, 64)
+			entries, _ := strconv.ParseInt(match[2], 10, 64)
+			r.entries += entries
+		}
+	}
+	return r
+}
+
+// startRealAgent starts a real agent that reads through the forwarder.
+func startRealAgent(t *testing.T, f *fleet, through *forwarder) *process.Process {
+	t.Helper()
+	address, err := f.addresses.FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(f.dir, "agent.json")
+	if err := f.writeAgent(path, "agent-1", 0, address, []string{through.address()}); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var configuration map[string]any
+	if err := json.Unmarshal(text, &configuration); err != nil {
+		t.Fatal(err)
+	}
+	configuration["log_level"] = "debug" // which tells of each list that is taken
+	if text, err = json.Marshal(configuration); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o644); err != nil {
+		t.Fatal(err)
+	}
+	p := f.supervisor.Add(process.Spec{Name: "agent-1", Path: f.config.Scale.AgentCommand, Log: f.log("agent-1"),
+		ReadyURL: "http://" + address + "/ready", Env: []string{"EDGE_CONFIG=" + path}})
+	if err := f.startReady(t.Context(), p); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// startHollowAgent starts a process of one hollow agent that reads through the forwarder.
+func startHollowAgent(t *testing.T, f *fleet, through *forwarder) *process.Process {
+	t.Helper()
+	executable, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	address, err := f.addresses.FreePort()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := f.supervisor.Add(process.Spec{Name: "hollow-agent", Path: executable, Log: f.log("hollow-agent"),
+		Args: []string{"hollow-agent", through.address(), address}, ReadyURL: "http://" + address + "/v1/state"})
+	if err := f.startReady(t.Context(), p); err != nil {
+		t.Fatal(err)
+	}
+	f.readers, f.readersAt = []*process.Process{p}, []string{address}
+	return p
+}
+
+// A hollow agent does to the list service what a real agent does: on the same list with the
+// same changes it makes the same calls, reads the same lines and entries and ends at the
+// same version. Bytes differ by the empty lines of a quiet watch. Processor time and memory
+// are printed beside each other; the real agent has a data path, though no requests here.
+func TestHollowBesideReal(t *testing.T) {
+	const servers = 400
+	f, s := testFleet(t, servers)
+	var through [2]*forwarder
+	for i := range through {
+		var err error
+		if through[i], err = newForwarder("127.0.0.1:0", f.stewardsAt[0]); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(through[i].close)
+	}
+	realAgent := startRealAgent(t, f, through[0])
+	hollowProcess := startHollowAgent(t, f, through[1])
+	state := func() hollow.AgentsState {
+		state, err := f.readersState(t.Context(), hollow.Expectation{Servers: servers}, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return state
+	}
+	if _, ok := poll(t.Context(), time.Minute, func() bool { return state().AsExpected == 1 }); !ok {
+		t.Fatalf("the hollow agent has no list: %+v", state())
+	}
+	setRates(t, s, 15, 5)
+	wait(t.Context(), 5*time.Second)
+	setRates(t, s, 0, 0)
+	settle(t, f, state)
+
+	read, did := readRealAgent(t, f.log("agent-1")), state()
+	realTraffic, hollowTraffic := through[0].read(), through[1].read()
+	realUse, _, _ := realAgent.Look()
+	hollowUse, _, _ := hollowProcess.Look()
+	t.Logf("%-10s %12s %12s %12s", "", "real", "hollow", "difference")
+	for _, row := range []struct {
+		name         string
+		real, hollow int64
+	}{
+		{"calls", realTraffic.Calls, hollowTraffic.Calls}, {"bytes in", realTraffic.BytesIn, hollowTraffic.BytesIn},
+		{"bytes out", realTraffic.BytesOut, hollowTraffic.BytesOut}, {"lines", read.lines, did.Lines},
+		{"entries", read.entries, did.Entries}, {"cpu ms", realUse.CPU.Milliseconds(), hollowUse.CPU.Milliseconds()},
+		{"rss kB", int64(realUse.RSSMB * 1024), int64(hollowUse.RSSMB * 1024)},
+	} {
+		t.Logf("%-10s %12d %12d %12d", row.name, row.real, row.hollow, row.hollow-row.real)
+	}
+	if realTraffic.Calls != hollowTraffic.Calls {
+		t.Errorf("calls: the real agent made %d, the hollow one %d", realTraffic.Calls, hollowTraffic.Calls)
+	}
+	if read.lines != did.Lines || read.entries != did.Entries || read.lines < 10 {
+		t.Errorf("the real agent took %d lines of %d entries, the hollow one %d of %d", read.lines, read.entries, did.Lines, did.Entries)
+	}
+	if read.version != did.VersionMin || did.ListedMin != servers {
+		t.Errorf("the real agent is at version %d, the hollow one at %d with %d servers", read.version, did.VersionMin, did.ListedMin)
+	}
+	// An empty line every 2 s, in a chunk of HTTP, is all that may differ.
+	if difference := realTraffic.BytesIn - hollowTraffic.BytesIn; difference < -200 || difference > 200 {
+		t.Errorf("the real agent read %d bytes, the hollow one %d", realTraffic.BytesIn, hollowTraffic.BytesIn)
+	}
+	if did.Total.BytesIn != hollowTraffic.BytesIn || did.Total.Calls != hollowTraffic.Calls {
+		t.Errorf("the hollow agent counted %+v, the forwarder %+v", did.Total, hollowTraffic)
+	}
+	if did.Changes < 10 {
+		t.Errorf("the ages of %d changes were taken", did.Changes)
+	}
+}
+
+func setRates(t *testing.T, s *hollow.Servers, configurations, restarts float64) {
+	t.Helper()
+	listener := http.NewServeMux()
+	listener.Handle("/", s.Handler(t.Context()))
+	address, err := freeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	if err := hollow.Serve(ctx, address, listener); err != nil {
+		t.Fatal(err)
+	}
+	rates := hollow.Rates{ConfigurationsPerSecond: configurations, RestartsPerSecond: restarts}
+	if err := hollow.Call(ctx, http.MethodPost, "http://"+address+"/v1/rates", rates, &rates); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func freeAddress() (string, error) {
+	addresses, err := loopback.Claim()
+	if err != nil {
+		return "", err
+	}
+	defer addresses.Close()
+	return addresses.FreePort()
+}
+
+// settle waits until both agents have the steward's last version.
+func settle(t *testing.T, f *fleet, state func() hollow.AgentsState) {
+	t.Helper()
+	_, ok := poll(t.Context(), time.Minute, func() bool {
+		wait(t.Context(), 300*time.Millisecond) // for a change that is under way
+		status, err := f.status(t.Context(), 0)
+		return err == nil && state().VersionMin == status.Seq && readRealAgent(t, f.log("agent-1")).version == status.Seq
+	})
+	if !ok {
+		t.Fatalf("not at one version: hollow %+v, real %+v", state(), readRealAgent(t, f.log("agent-1")))
+	}
+}
+
+// Hollow servers drain, leave and come back as real ones do, by the list.
+func TestServersEnd(t *testing.T) {
+	const servers = 44
+	f, s := testFleet(t, servers)
+	if n := s.End(t.Context(), hollow.Range{First: 3, Count: 2}, true); n != 2 {
+		t.Errorf("%d of 2 servers drained", n)
+	}
+	if n := s.End(t.Context(), hollow.Range{First: 10, Count: 4}, false); n != 4 {
+		t.Errorf("%d of 4 servers left", n)
+	}
+	list, err := f.client.List(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	draining := 0
+	for i := range list.Hosts {
+		if list.Hosts[i].Health == endpoints.Draining {
+			draining++
+		}
+		if strings.HasPrefix(list.Hosts[i].Host, "hollow-00012") {
+			t.Errorf("%s left and is listed", list.Hosts[i].Host)
+		}
+	}
+	if len(list.Hosts) != servers-4 || draining != 2 || s.State().Renewed != servers-4 {
+		t.Errorf("%d servers are listed, %d of them draining, %d renewed", len(list.Hosts), draining, s.State().Renewed)
+	}
+	if r := s.Register(t.Context(), hollow.Range{First: 10, Count: 4}); r.Servers != 4 || r.Refused != "" {
+		t.Errorf("came back: %+v", r)
+	}
+	if list, err = f.client.List(t.Context()); err != nil || len(list.Hosts) != servers {
+		t.Errorf("%d servers are listed: %v", len(list.Hosts), err)
+	}
+}
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -438,6 +438,7 @@
 	total.WatchesOpen += state.WatchesOpen
 	total.WatchesEnded += state.WatchesEnded
 	total.Lines += state.Lines
+	total.Entries += state.Entries
 	total.WholeLists += state.WholeLists
 	total.Versions += state.Versions
 	total.Failovers += state.Failovers
