--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -72,9 +72,17 @@
 	SteadyTen    = "steady x10"
 	LeaderKilled = "leader killed"
 	ZoneLost     = "zone lost"
+
+	ConfigBurst   = "config burst"
+	StewardKilled = "steward killed"
+	RegionLost    = "region lost"
 )
 
-var allPhases = []string{FirstStart, Steady, SteadyTen, LeaderKilled, ZoneLost}
+// corePhases are run unless the file names others, of allPhases.
+var (
+	corePhases = []string{FirstStart, Steady, SteadyTen, LeaderKilled, ZoneLost}
+	allPhases  = append(slices.Clone(corePhases), ConfigBurst, StewardKilled, RegionLost)
+)
 
 // Bounds of the machine that a file can't raise.
 const (
@@ -87,7 +95,7 @@
 
 func defaults() Config {
 	return Config{Seed: 1, Scale: Scale{
-		Stewards: 3, Steward: map[string]any{}, Phases: allPhases,
+		Stewards: 3, Steward: map[string]any{}, Phases: slices.Clone(corePhases),
 		RealAgents: 20, RequestRate: 10, Emulated: 1, ServiceTime: 5 * time.Millisecond,
 		Renew: 2 * time.Second, RenewBatch: 1, ConfigurationsPerDay: 34_000, RestartsPerDay: 9_200,
 		Steady: 10 * time.Second, RecoverWithin: 60 * time.Second,
@@ -194,7 +202,7 @@
 			return fmt.Errorf("scale.phases[%d]: unknown phase %q: one of %s", i, phase, strings.Join(allPhases, ", "))
 		case at <= last:
 			return fmt.Errorf("scale.phases[%d]: %q is out of order: they are run in the order %s", i, phase, strings.Join(allPhases, ", "))
-		case phase == LeaderKilled && c.Scale.Stewards < 3:
+		case (phase == LeaderKilled || phase == StewardKilled) && c.Scale.Stewards < 3:
 			return fmt.Errorf("scale.phases[%d]: %q needs three stewards", i, phase)
 		}
 		last = at
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -212,7 +212,20 @@
 		case LeaderKilled:
 			err = p.leaderKilled(ctx)
 		case ZoneLost:
-			err = p.zoneLost(ctx)
+			err = p.serversLost(ctx, phase, hollow.ZoneRange(0, p.size.Servers))
+		case ConfigBurst:
+			err = p.configBurst(ctx)
+		case StewardKilled:
+			err = p.stewardKilled(ctx)
+		case RegionLost:
+			err = p.serversLost(ctx, phase, hollow.Range{Count: hollow.ZoneRange(regionZones, p.size.Servers).First})
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		var ranOut *spent
+		if errors.As(err, &ranOut) {
+			return &spent{phase + ": " + ranOut.what}
 		}
 		if err != nil {
 			return err
@@ -406,26 +419,28 @@
 	return took, nil
 }
 
-// zoneLost has a part of the servers as large as a zone fall silent, and come back.
-func (p *play) zoneLost(ctx context.Context) error {
+// regionZones is how many zones a region has: 22 in 6 regions, rounded up.
+const regionZones = 4
+
+// serversLost has some servers fall silent, all of a zone or more, and come back.
+func (p *play) serversLost(ctx context.Context, load string, lost hollow.Range) error {
 	f := p.fleet
-	zone := hollow.ZoneRange(0, p.size.Servers)
 	var gone, back time.Duration
-	m, err := p.measured(ctx, ZoneLost, func() error {
-		if err := f.command(ctx, "/v1/silence", zone, &zone); err != nil {
+	m, err := p.measured(ctx, load, func() error {
+		if err := f.command(ctx, "/v1/silence", lost, &lost); err != nil {
 			return err
 		}
 		var err error
-		if gone, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers, Absent: zone.Count}); err != nil {
+		if gone, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers, Absent: lost.Count}); err != nil {
 			return err
 		}
 		began := time.Now()
 		var registered hollow.Registered
-		if err := f.command(ctx, "/v1/register", zone, &registered); err != nil {
+		if err := f.command(ctx, "/v1/register", lost, &registered); err != nil {
 			return err
 		}
 		if registered.Refused != "" {
-			return &spent{"the zone's return was refused: " + registered.Refused}
+			return &spent{"their return was refused: " + registered.Refused}
 		}
 		_, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers})
 		back = time.Since(began)
@@ -438,3 +453,52 @@
 	m.add(roleReaders, "recovered_s", back.Seconds())
 	return nil
 }
+
+// burstPerSecond is the rate of configuration changes in a burst, which lasts burstFor.
+const (
+	burstPerSecond = 200
+	burstFor       = 2 * time.Second
+)
+
+// configBurst makes many configuration changes and waits until all readers have the last.
+func (p *play) configBurst(ctx context.Context) error {
+	var took time.Duration
+	m, err := p.measured(ctx, ConfigBurst, func() error {
+		rates := hollow.Rates{ConfigurationsPerSecond: burstPerSecond}
+		if err := p.fleet.command(ctx, "/v1/rates", rates, &rates); err != nil {
+			return err
+		}
+		wait(ctx, burstFor)
+		if err := p.fleet.setRates(ctx, 1); err != nil {
+			return err
+		}
+		var err error
+		took, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	m.add(roleReaders, "recovered_s", took.Seconds())
+	return nil
+}
+
+// stewardKilled kills a steward that doesn't lead, and starts it again once its watches
+// have moved to others.
+func (p *play) stewardKilled(ctx context.Context) error {
+	f := p.fleet
+	killed := (f.leader(ctx) + 1) % len(f.stewards)
+	var moved time.Duration
+	m, err := p.measured(ctx, StewardKilled, func() error {
+		f.stewards[killed].Kill()
+		<-f.stewards[killed].Ended()
+		var err error
+		moved, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers})
+		return errors.Join(err, f.stewards[killed].Start())
+	})
+	if err != nil {
+		return err
+	}
+	m.add(roleReaders, "recovered_s", moved.Seconds())
+	return nil
+}
