--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -483,17 +483,45 @@
 	return nil
 }
 
+// waitFailovers waits until readers left their stewards so often: what they say of their
+// watches before that is of the time before the steward's end.
+func (p *play) waitFailovers(ctx context.Context, wanted int64) error {
+	var state hollow.AgentsState
+	var err error
+	_, ok := poll(ctx, p.config.Scale.RecoverWithin, func() bool {
+		state, err = p.fleet.readersState(ctx, hollow.Expectation{}, false)
+		return err == nil && state.Failovers >= wanted
+	})
+	if !ok {
+		return errors.Join(ctx.Err(), err, &spent{fmt.Sprintf("readers left stewards %d times, not %d, after one was gone", state.Failovers, wanted)})
+	}
+	return nil
+}
+
 // stewardKilled kills a steward that doesn't lead, and starts it again once its watches
 // have moved to others.
 func (p *play) stewardKilled(ctx context.Context) error {
 	f := p.fleet
 	killed := (f.leader(ctx) + 1) % len(f.stewards)
+	status, err := f.status(ctx, killed)
+	if err != nil {
+		return err
+	}
+	before, err := f.readersState(ctx, hollow.Expectation{}, false)
+	if err != nil {
+		return err
+	}
+	watches := status.Watches - len(f.agents) // at least, of hollow agents
 	var moved time.Duration
 	m, err := p.measured(ctx, StewardKilled, func() error {
+		began := time.Now()
 		f.stewards[killed].Kill()
 		<-f.stewards[killed].Ended()
-		var err error
-		moved, err = p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers})
+		if err := p.waitFailovers(ctx, before.Failovers+int64(watches)); err != nil {
+			return err
+		}
+		_, err := p.waitReaders(ctx, hollow.Expectation{Servers: p.size.Servers})
+		moved = time.Since(began)
 		return errors.Join(err, f.stewards[killed].Start())
 	})
 	if err != nil {
