Settle all silent servers of a lost zone within one question to the stewards

Symptom: in scale runs 46 of 1,000, 91 of 2,000 and 55 of 300 servers that fell silent were still listed after 45 to 60 s; 12 of 250 and 23 of 500 were gone after 6 and 12 s (trials on a busy machine). Cause: a steward probed 16 servers at a time with a time-out of 500 ms, so that from 33 silent servers on its answer came at the end of the question's 1.2 s, while the asking leader's client for peers gives up after 1 s. No majority ever spoke and the leases stayed unsettled. Ruled out: the guard against mass failure (a fifth at most was silent, nothing was held), and renewals (their count was right). Change: the question is bounded by its own time alone; up to 256 servers are asked about and probed at once, as many as one question may name.

--- a/internal/catalog/lease.go
+++ b/internal/catalog/lease.go
@@ -60,8 +60,9 @@
 	return Unsettled
 }
 
-// mostAsked bounds the servers that are asked about at once.
-const mostAsked = 64
+// mostAsked bounds the servers that are asked about at once. A zone of the largest fleet that the
+// state holds has to be settled in some seconds, at one question a second.
+const mostAsked = 256
 
 // Doubtful is the servers about which others should be asked: late, over, or held. Those that
 // have been in doubt for the longest come first.
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -31,9 +31,11 @@
 	inquireEvery = 250 * time.Millisecond
 	evidenceWait = 1200 * time.Millisecond // for another steward's answer
 	probeWait    = 500 * time.Millisecond  // for a server's
-	probeMany    = 16
-	verdictLasts = 3 * time.Second
-	maxEvidence  = 256 // servers of one question
+	// maxConcurrentProbes is as many as the leader asks about at once, so that all silent servers
+	// of one question are settled within one probe's time-out, before the question's own.
+	maxConcurrentProbes = 256
+	verdictLasts        = 3 * time.Second
+	maxEvidence         = 256 // servers of one question
 	// mostQuestions bounds the questions that are looked into at once: one leader asks one.
 	mostQuestions = 4
 	// nameWait is how long a name may seem to be another's: one that has lost its folder and is
@@ -320,7 +322,7 @@
 	out := map[string]member.Answer{}
 	began := time.Now()
 	found := make([]member.Answer, len(refs))
-	places := make(chan struct{}, probeMany)
+	places := make(chan struct{}, maxConcurrentProbes)
 	var all sync.WaitGroup
 	for i, dial := range dials {
 		if dial == "" {
@@ -464,6 +466,9 @@
 func (n *Node) ask(voters []string, refs []catalog.Ref) map[string]map[string]member.Answer {
 	ctx, cancel := context.WithTimeout(n.ctx, evidenceWait)
 	defer cancel()
+	// The context bounds the calls: n.peers would give up before a steward that has many silent
+	// servers to probe can answer.
+	client := &http.Client{Transport: n.peers.Transport}
 	type said struct {
 		from    string
 		answers map[string]member.Answer
@@ -481,7 +486,7 @@
 				return
 			}
 			var e Evidence
-			err := call(ctx, n.peers, http.MethodPost, "http://"+p.HTTP+"/v1/evidence", Evidence{Refs: refs}, &e)
+			err := call(ctx, client, http.MethodPost, "http://"+p.HTTP+"/v1/evidence", Evidence{Refs: refs}, &e)
 			var refused *HTTPError
 			switch {
 			case errors.As(err, &refused) && refused.Status == http.StatusNotFound:
