--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -441,28 +441,12 @@
 }
 
 func (n *Node) serveServers(w http.ResponseWriter, _ *http.Request) {
-	all := []catalog.Entry{}
-	n.fsm.read(func(s *catalog.State) {
-		for _, name := range s.Names() {
-			all = append(all, *s.Entries[name])
-		}
-	})
-	answer(w, all)
+	answer(w, copyAll(n.fsm, entryTable, shallowCopy))
 }
 
 func (n *Node) serveServer(w http.ResponseWriter, r *http.Request) {
-	var e *catalog.Entry
-	n.fsm.read(func(s *catalog.State) {
-		if found := s.Entries[r.PathValue("name")]; found != nil {
-			c := *found
-			e = &c
-		}
-	})
-	if e == nil {
-		http.Error(w, "no server of this name", http.StatusNotFound)
-		return
-	}
-	answer(w, e)
+	e := copyOne(n.fsm, entryTable, r.PathValue("name"), shallowCopy)
+	answerOne(w, e, "no server of this name")
 }
 
 func (n *Node) serveSnapshot(w http.ResponseWriter, _ *http.Request) {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -518,37 +518,15 @@
 }
 
 func (n *Node) serveDutyList(w http.ResponseWriter, _ *http.Request) {
-	all := []catalog.Duty{}
-	n.fsm.read(func(s *catalog.State) {
-		for _, name := range s.DutyNames() {
-			all = append(all, *s.Duties[name])
-		}
-	})
-	answer(w, all)
+	answer(w, copyAll(n.fsm, dutyTable, copyDuty))
 }
 
 func (n *Node) serveDuty(w http.ResponseWriter, r *http.Request) {
-	var d *catalog.Duty
-	n.fsm.read(func(s *catalog.State) {
-		if found := s.Duties[r.PathValue("name")]; found != nil {
-			c := *found
-			c.Past = slices.Clone(c.Past)
-			d = &c
-		}
-	})
-	if d == nil {
-		http.Error(w, "unknown: no duty "+strconv.Quote(r.PathValue("name")), http.StatusNotFound)
-		return
-	}
-	answer(w, d)
+	name := r.PathValue("name")
+	d := copyOne(n.fsm, dutyTable, name, copyDuty)
+	answerOne(w, d, "unknown: no duty "+strconv.Quote(name))
 }
 
 func (n *Node) serveSessions(w http.ResponseWriter, _ *http.Request) {
-	all := []catalog.Session{}
-	n.fsm.read(func(s *catalog.State) {
-		for _, process := range s.Processes() {
-			all = append(all, *s.Sessions[process])
-		}
-	})
-	answer(w, all)
+	answer(w, copyAll(n.fsm, sessionTable, shallowCopy))
 }
--- /dev/null
+++ b/internal/control/inspect.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"molepaddle/internal/catalog"
+)
+
+// Handlers that show the replicated state to operators copy what they answer while the state
+// is locked, and encode the copy after it has been unlocked.
+
+// stateTable selects one table of the replicated state.
+type stateTable[T any] func(*catalog.State) map[string]*T
+
+func entryTable(s *catalog.State) map[string]*catalog.Entry     { return s.Entries }
+func dutyTable(s *catalog.State) map[string]*catalog.Duty       { return s.Duties }
+func sessionTable(s *catalog.State) map[string]*catalog.Session { return s.Sessions }
+
+// shallowCopy copies a value whose slices the state never changes in place.
+func shallowCopy[T any](v *T) T { return *v }
+
+// copyDuty copies a duty with its past terms, which the state shifts in place.
+func copyDuty(d *catalog.Duty) catalog.Duty {
+	c := *d
+	c.Past = slices.Clone(d.Past)
+	return c
+}
+
+// copyAll returns copies of all values of a table in the order of their names. It is never
+// nil.
+func copyAll[T any](f *fsm, table stateTable[T], clone func(*T) T) []T {
+	all := []T{}
+	f.read(func(s *catalog.State) {
+		byName := table(s)
+		for _, name := range slices.Sorted(maps.Keys(byName)) {
+			all = append(all, clone(byName[name]))
+		}
+	})
+	return all
+}
+
+// copyOne returns a copy of the value of a name, or nil if the table has none.
+func copyOne[T any](f *fsm, table stateTable[T], name string, clone func(*T) T) (found *T) {
+	f.read(func(s *catalog.State) {
+		if v := table(s)[name]; v != nil {
+			c := clone(v)
+			found = &c
+		}
+	})
+	return found
+}
+
+// answerOne answers with the value, or with status 404 and the given text if it is nil.
+func answerOne[T any](w http.ResponseWriter, v *T, notFound string) {
+	if v == nil {
+		http.Error(w, notFound, http.StatusNotFound)
+		return
+	}
+	answer(w, v)
+}
