--- a/internal/lab/cost/cell.go
+++ b/internal/lab/cost/cell.go
@@ -203,6 +203,7 @@
 	add("calls", float64(c.load.pairs))
 	add("served_share", c.servedShare())
 	add("cpu_ms_per_call", c.perCall(milliseconds(c.cpu)))
+	add("cpu_ms_per_served_call", milliseconds(c.cpu)/max(float64(c.load.agentServed), 1))
 	add("cpu_cores", c.cores)
 	add("idle_cpu_cores", c.idleCores)
 	add("rss_mb", c.rssMB)
