--- a/internal/lab/cost/cell.go
+++ b/internal/lab/cost/cell.go
@@ -170,10 +170,11 @@
 func (c *Cell) judge() {
 	broke := func(format string, args ...any) { c.Broke = append(c.Broke, fmt.Sprintf(format, args...)) }
 	if share := c.servedShare(); share < minServed {
-		broke("served share %.4f, at least %.2f", share, minServed)
+		broke("served share %.4f, at least %.2f (refused %.4f, failed %.4f, unanswered %.4f)", share, minServed,
+			c.load.share(throughAgent, refused), c.load.share(throughAgent, failed), c.load.share(throughAgent, unanswered))
 	}
-	if c.load.directServed < c.load.pairs {
-		broke("%d of %d direct calls not served", c.load.pairs-c.load.directServed, c.load.pairs)
+	if lost := c.load.pairs - c.load.ended[direct][served]; lost > 0 {
+		broke("%d of %d direct calls not served", lost, c.load.pairs)
 	}
 	if c.peakRSSMB > AgentMemoryMB {
 		broke("peak memory %.0f MB, at most %d", c.peakRSSMB, AgentMemoryMB)
@@ -183,12 +184,7 @@
 	}
 }
 
-func (c *Cell) servedShare() float64 {
-	if c.load.pairs == 0 {
-		return 0
-	}
-	return float64(c.load.agentServed) / float64(c.load.pairs)
-}
+func (c *Cell) servedShare() float64 { return c.load.share(throughAgent, served) }
 
 // perCall divides by the calls that were made through the agent.
 func (c *Cell) perCall(x float64) float64 { return x / max(float64(c.load.pairs), 1) }
@@ -198,16 +194,36 @@
 
 // addTo adds the cell's measurements to the run of its number of servers.
 func (c *Cell) addTo(run *capacity.Run) {
-	load, agent, plain := loadName(c.Rate), c.load.latency[throughAgent], c.load.latency[direct]
+	load := loadName(c.Rate)
 	add := func(metric string, value float64) { run.Add("agent", load, metric, value) }
 	add("calls", float64(c.load.pairs))
 	add("served_share", c.servedShare())
+	add("refused_share", c.load.share(throughAgent, refused))
+	add("failed_share", c.load.share(throughAgent, failed))
+	add("unanswered_share", c.load.share(throughAgent, unanswered))
 	add("cpu_ms_per_call", c.perCall(milliseconds(c.cpu)))
-	add("cpu_ms_per_served_call", milliseconds(c.cpu)/max(float64(c.load.agentServed), 1))
+	if n := c.load.ended[throughAgent][served]; n > 0 {
+		add("cpu_ms_per_served_call", milliseconds(c.cpu)/float64(n))
+	}
 	add("cpu_cores", c.cores)
 	add("idle_cpu_cores", c.idleCores)
 	add("rss_mb", c.rssMB)
 	add("peak_rss_mb", c.peakRSSMB)
+	c.addLatencies(add)
+	add("connections_per_call", c.perCall(float64(c.counts.connections)))
+	add("probes_per_call", c.perCall(float64(c.counts.probes)))
+	add("whole_lists", float64(c.counts.wholeLists))
+	add("watches_opened", float64(c.counts.watches))
+	run.Add("lab", load, "late_p99_ms", quantileMs(c.load.late, 99))
+}
+
+// addLatencies adds quantiles of the calls that were served. Where there are none, there is
+// no latency, and none is added.
+func (c *Cell) addLatencies(add func(metric string, value float64)) {
+	if len(c.load.added) == 0 {
+		return
+	}
+	agent, plain := c.load.latency[throughAgent], c.load.latency[direct]
 	for _, q := range []struct {
 		name    string
 		percent float64
@@ -217,19 +233,17 @@
 		add("added_"+q.name, quantileMs(agent, q.percent)-quantileMs(plain, q.percent))
 		add("added_paired_"+q.name, quantile(c.load.added, q.percent))
 	}
-	add("connections_per_call", c.perCall(float64(c.counts.connections)))
-	add("probes_per_call", c.perCall(float64(c.counts.probes)))
-	add("whole_lists", float64(c.counts.wholeLists))
-	add("watches_opened", float64(c.counts.watches))
-	run.Add("lab", load, "late_p99_ms", quantileMs(c.load.late, 99))
 }
 
 // String is the cell's line of progress.
 func (c *Cell) String() string {
-	agent, plain := c.load.latency[throughAgent], c.load.latency[direct]
-	return fmt.Sprintf("%6d servers %6g calls/s: %6.3f ms CPU a call, %.3f cores (idle %.3f), %.0f MB (peak %.0f), added %.2f ms p50 %.2f ms p99, served %.4f",
-		c.Servers, c.Rate, c.perCall(milliseconds(c.cpu)), c.cores, c.idleCores, c.rssMB, c.peakRSSMB,
-		quantileMs(agent, 50)-quantileMs(plain, 50), quantileMs(agent, 99)-quantileMs(plain, 99), c.servedShare())
+	added := "nothing served"
+	if len(c.load.added) > 0 {
+		agent, plain := c.load.latency[throughAgent], c.load.latency[direct]
+		added = fmt.Sprintf("added %.2f ms p50 %.2f ms p99", quantileMs(agent, 50)-quantileMs(plain, 50), quantileMs(agent, 99)-quantileMs(plain, 99))
+	}
+	return fmt.Sprintf("%6d servers %6g calls/s: %6.3f ms CPU a call, %.3f cores (idle %.3f), %.0f MB (peak %.0f), %s, served %.4f",
+		c.Servers, c.Rate, c.perCall(milliseconds(c.cpu)), c.cores, c.idleCores, c.rssMB, c.peakRSSMB, added, c.servedShare())
 }
 
 // sleep waits, or returns the context's error if that ends first.
--- a/internal/lab/cost/cost_test.go
+++ b/internal/lab/cost/cost_test.go
@@ -89,13 +89,13 @@
 func TestSummarize(t *testing.T) {
 	const ms = time.Millisecond
 	outcomes := []pairOutcome{
-		{direct: {latency: 2 * ms, served: true}, throughAgent: {latency: 3 * ms, served: true, late: ms}},
-		{direct: {latency: 4 * ms, served: true}, throughAgent: {latency: 3 * ms, served: true}},
-		{direct: {latency: 2 * ms, served: true}, throughAgent: {latency: 900 * ms}},
+		{direct: {latency: 2 * ms, ending: served}, throughAgent: {latency: 3 * ms, ending: served, late: ms}},
+		{direct: {latency: 4 * ms, ending: served}, throughAgent: {latency: 3 * ms, ending: served}},
+		{direct: {latency: 2 * ms, ending: served}, throughAgent: {latency: 900 * ms}},
 	}
 	s := summarize(outcomes)
-	if s.pairs != 3 || s.directServed != 3 || s.agentServed != 2 {
-		t.Errorf("counted %d pairs, %d direct and %d through the agent", s.pairs, s.directServed, s.agentServed)
+	if s.pairs != 3 || s.ended[direct][served] != 3 || s.ended[throughAgent] != [endings]int{unanswered: 1, served: 2} {
+		t.Errorf("counted %d pairs, %v direct and %v through the agent", s.pairs, s.ended[direct], s.ended[throughAgent])
 	}
 	if !reflect.DeepEqual(s.added, []float64{-1, 1}) {
 		t.Errorf("added %v ms", s.added)
@@ -108,6 +108,30 @@
 	}
 }
 
+func TestEndingOf(t *testing.T) {
+	for status, want := range map[int]ending{200: served, 204: failed, 429: refused, 502: failed, 503: refused, 504: failed} {
+		if got := endingOf(status); got != want {
+			t.Errorf("status %d ends as %d, want %d", status, got, want)
+		}
+	}
+}
+
+// Where nothing was served there is no latency, rather than one of 0.
+func TestNothingServed(t *testing.T) {
+	pairs := []pairOutcome{{direct: {ending: served, latency: time.Millisecond}, throughAgent: {ending: refused}}}
+	cell := &Cell{Rate: 115, load: summarize(pairs)}
+	var run capacity.Run
+	cell.addTo(&run)
+	for _, m := range run.Measurements {
+		if m.Role == "agent" && (strings.HasSuffix(m.Metric, "_ms") || m.Metric == "cpu_ms_per_served_call") {
+			t.Errorf("%s is %v", m.Metric, m.Value)
+		}
+	}
+	if !strings.Contains(cell.String(), "nothing served") {
+		t.Errorf("progress is %q", cell)
+	}
+}
+
 func TestQuantile(t *testing.T) {
 	sorted := []float64{-1, 0, 1, 2}
 	for percent, want := range map[float64]float64{0: -1, 50: 1, 99: 2, 100: 2} {
@@ -177,7 +201,7 @@
 func brokenCell(change func(pairs []pairOutcome, c *Cell)) []string {
 	pairs := make([]pairOutcome, 100)
 	for i := range pairs {
-		pairs[i] = pairOutcome{direct: {served: true}, throughAgent: {served: true}}
+		pairs[i] = pairOutcome{direct: {ending: served}, throughAgent: {ending: served}}
 	}
 	cell := &Cell{}
 	change(pairs, cell)
@@ -192,9 +216,9 @@
 		say    string
 	}{
 		"held":         {func([]pairOutcome, *Cell) {}, ""},
-		"one unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].served = false }, ""},
-		"two unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].served, p[1][throughAgent].served = false, false }, "served share 0.9800"},
-		"direct":       {func(p []pairOutcome, _ *Cell) { p[0][direct].served = false }, "1 of 100 direct calls"},
+		"one unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].ending = refused }, ""},
+		"two unserved": {func(p []pairOutcome, _ *Cell) { p[0][throughAgent].ending, p[1][throughAgent].ending = refused, failed }, "served share 0.9800, at least 0.99 (refused 0.0100, failed 0.0100, unanswered 0.0000)"},
+		"direct":       {func(p []pairOutcome, _ *Cell) { p[0][direct].ending = unanswered }, "1 of 100 direct calls"},
 		"memory":       {func(_ []pairOutcome, c *Cell) { c.peakRSSMB = AgentMemoryMB + 1 }, "peak memory 257 MB"},
 		"late": {func(p []pairOutcome, _ *Cell) {
 			p[0][direct].late, p[1][direct].late, p[2][direct].late = 1e9, 1e9, 1e9
@@ -272,12 +296,12 @@
 func TestAddTo(t *testing.T) {
 	pairs := make([]pairOutcome, 200)
 	for i := range pairs {
-		pairs[i] = pairOutcome{direct: {served: true, latency: 2 * time.Millisecond}, throughAgent: {served: i%2 == 0, latency: 5 * time.Millisecond}}
+		pairs[i] = pairOutcome{direct: {ending: served, latency: 2 * time.Millisecond}, throughAgent: {ending: served - ending(i%2), latency: 5 * time.Millisecond}}
 	}
 	cell := &Cell{Rate: 115, cpu: 100 * time.Millisecond, cores: 0.1, counts: counts{probes: 20, connections: 400}, load: summarize(pairs)}
 	var run capacity.Run
 	cell.addTo(&run)
-	for name, want := range map[string]float64{"calls": 200, "served_share": 0.5, "cpu_ms_per_call": 0.5, "cpu_ms_per_served_call": 1, "cpu_cores": 0.1,
+	for name, want := range map[string]float64{"calls": 200, "served_share": 0.5, "refused_share": 0, "failed_share": 0, "unanswered_share": 0.5, "cpu_ms_per_call": 0.5, "cpu_ms_per_served_call": 1, "cpu_cores": 0.1,
 		"idle_cpu_cores": 0, "rss_mb": 0, "peak_rss_mb": 0, "direct_p50_ms": 2, "direct_p99_ms": 2, "agent_p50_ms": 5, "agent_p99_ms": 5,
 		"added_p50_ms": 3, "added_p99_ms": 3, "added_paired_p50_ms": 3, "added_paired_p99_ms": 3, "connections_per_call": 2, "probes_per_call": 0.1} {
 		if got := metric(t, &run, "115 calls/s", name); math.Abs(got-want) > 0.01 {
--- a/internal/lab/cost/load.go
+++ b/internal/lab/cost/load.go
@@ -72,7 +72,29 @@
 type outcome struct {
 	latency time.Duration // from its send to the last byte of its answer
 	late    time.Duration // from its planned time to its send
-	served  bool
+	ending  ending
+}
+
+// ending is how a call ended.
+type ending int
+
+const (
+	unanswered ending = iota // within callTimeout, or not whole
+	served
+	refused // 429 or 503
+	failed  // any other status
+	endings
+)
+
+// endingOf tells what a status means to the caller.
+func endingOf(status int) ending {
+	switch status {
+	case http.StatusOK:
+		return served
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return refused
+	}
+	return failed
 }
 
 // pairOutcome holds the outcomes of a pair by route.
@@ -147,32 +169,38 @@
 	req.Header.Set("Request-Id", strconv.Itoa(s.pair))
 	req.Header.Set("Request-Timeout", strconv.FormatInt(callTimeout.Milliseconds(), 10)+"m")
 	sent := time.Now()
-	served := c.roundTrip(req)
-	return outcome{latency: time.Since(sent), late: sent.Sub(planned), served: served}
+	end := c.roundTrip(req)
+	return outcome{latency: time.Since(sent), late: sent.Sub(planned), ending: end}
 }
 
-// roundTrip reports whether a whole answer with status 200 came.
-func (c *caller) roundTrip(req *http.Request) bool {
+// roundTrip returns once the answer is whole, or the request's context has ended.
+func (c *caller) roundTrip(req *http.Request) ending {
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return unanswered
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
-	return err == nil && resp.StatusCode == http.StatusOK
+	if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
+		return unanswered
+	}
+	return endingOf(resp.StatusCode)
 }
 
 // summary is what the pairs of a load show.
 type summary struct {
-	pairs        int
-	agentServed  int
-	directServed int
-	latency      [routes]*hdrhistogram.Histogram
-	late         *hdrhistogram.Histogram
-	added        []float64 // of each pair that was served on both routes, sorted, in ms
+	pairs   int
+	ended   [routes][endings]int
+	latency [routes]*hdrhistogram.Histogram // of the calls that were served
+	late    *hdrhistogram.Histogram
+	added   []float64 // of each pair that was served on both routes, sorted, in ms
+}
+
+// share is the part of the calls on a route that ended so.
+func (s *summary) share(r route, e ending) float64 {
+	return float64(s.ended[r][e]) / max(float64(s.pairs), 1)
 }
 
-// summarize takes latencies from the calls that were served.
+// summarize counts endings and latencies.
 func summarize(outcomes []pairOutcome) *summary {
 	s := &summary{pairs: len(outcomes), late: newHistogram()}
 	for r := range s.latency {
@@ -181,18 +209,13 @@
 	for i := range outcomes {
 		pair := &outcomes[i]
 		for r := range pair {
+			s.ended[r][pair[r].ending]++
 			record(s.late, pair[r].late)
-			if pair[r].served {
+			if pair[r].ending == served {
 				record(s.latency[r], pair[r].latency)
 			}
 		}
-		if pair[direct].served {
-			s.directServed++
-		}
-		if pair[throughAgent].served {
-			s.agentServed++
-		}
-		if pair[direct].served && pair[throughAgent].served {
+		if pair[direct].ending == served && pair[throughAgent].ending == served {
 			s.added = append(s.added, milliseconds(pair[throughAgent].latency-pair[direct].latency))
 		}
 	}
