Bring control's membership files to the field's terms

Need: the files split from members.go kept names and comments such as inquire, testify, ask, hear, judged, a loop of 35 lines and one constant block for six jobs. Change: evidenceLoop, probeServers, collectEvidence, requestEvidence, noteRenewals, arrivalLoop, changeVoters and others; each constant stands with its use and says its unit of meaning (maxProbes, probeTimeout, nameConflictTimeout); doc comments say what is required and returned; isConflict serves join and arrival. No behaviour, log line or wire name is changed.

--- a/internal/control/arrival.go
+++ b/internal/control/arrival.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -11,19 +10,29 @@
 	"molepaddle/internal/member"
 )
 
-// arrivalBody is a process that wants the number of its life.
+const (
+	arrivalInterval = 500 * time.Millisecond // between checks of this process's incarnation
+	// nameConflictTimeout is for how long a name may seem to belong to another process before
+	// this one gives up: after a quick restart with an empty data folder, the others need some
+	// time to notice that the earlier process is gone.
+	nameConflictTimeout = 10 * time.Second
+)
+
+// arrivalBody asks for the incarnation number of a start of a process.
 type arrivalBody struct {
 	ID   string `json:"id"`
 	Life string `json:"life"`
 }
 
-// arrive gets this process its incarnation, and ends the process if its name is another's.
-func (n *Node) arrive() {
+// arrivalLoop obtains this process's incarnation number from the catalog and gossips it. It
+// ends the process if its name belongs to another one, and returns then or when the steward
+// stops.
+func (n *Node) arrivalLoop() {
 	c := NewClient(nil, applyWait+peerWait)
 	c.Table = n.addresses
-	t := time.NewTicker(arriveAgain)
+	t := time.NewTicker(arrivalInterval)
 	defer t.Stop()
-	var since time.Time // the name has seemed to be another's
+	var conflictSince time.Time // when the name began to seem another process's; zero if it doesn't
 	for {
 		var mine catalog.Member
 		n.fsm.read(func(s *catalog.State) {
@@ -47,14 +56,12 @@
 		default:
 			var r catalog.Result
 			err := c.do(n.ctx, http.MethodPost, endpoints.MembersPath+"/"+n.c.Name+"/arrival", arrivalBody{n.id, n.startID}, &r)
-			var refused *HTTPError
-			taken := errors.As(err, &refused) && refused.Status == http.StatusConflict
 			switch {
-			case !taken:
-				since = time.Time{}
-			case since.IsZero():
-				since = time.Now()
-			case time.Since(since) > nameWait:
+			case !isConflict(err):
+				conflictSince = time.Time{}
+			case conflictSince.IsZero():
+				conflictSince = time.Now()
+			case time.Since(conflictSince) > nameConflictTimeout:
 				n.fail(fmt.Errorf("name: %w", err))
 				return
 			}
@@ -67,7 +74,8 @@
 	}
 }
 
-// present tells whether the view has a process of a name as there, and by which folder.
+// present reports whether the membership view holds a process of this name to be present, and
+// the identity of its data folder.
 func (n *Node) present(name string) (id string, is bool) {
 	if n.gossip == nil {
 		return "", false
@@ -76,7 +84,8 @@
 	return id, is
 }
 
-// another refuses what a process asks in a name that another one has, which is there.
+// another returns a refusal if a process other than the one with this identity is present
+// under the name.
 func (n *Node) another(name, id string) error {
 	if has, is := n.present(name); is && id != "" && has != "" && has != id {
 		if n.repeatedLogs.Allow() {
@@ -87,6 +96,8 @@
 	return nil
 }
 
+// takeArrival gives a process of the control plane its incarnation number. It refuses a name
+// that isn't in the table of peers or that another present process has.
 func (n *Node) takeArrival(w http.ResponseWriter, r *http.Request) error {
 	var b arrivalBody
 	if err := body(w, r, &b); err != nil {
--- a/internal/control/duties.go
+++ b/internal/control/duties.go
@@ -80,7 +80,7 @@
 	c := NewClient(nil, pollWait+5*time.Second)
 	c.Table = n.addresses
 	n.holder = duty.NewRunner(duty.Config{Process: n.c.Name, Cap: ownCap, Service: c, Log: n.log,
-		Kinds: map[string]duty.Function{sweepDuty: haveLeader(c, "/v1/sweep", sweepEvery), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: haveLeader(c, "/v1/voters", votersEvery)}})
+		Kinds: map[string]duty.Function{sweepDuty: haveLeader(c, "/v1/sweep", sweepEvery), snapshotDuty: n.doSnapshots(c), auditDuty: n.doAudit(c), votersDuty: haveLeader(c, "/v1/voters", votersInterval)}})
 	go func() {
 		defer close(n.holderDone)
 		n.holder.Run(ctx)
--- a/internal/control/evidence.go
+++ b/internal/control/evidence.go
@@ -12,13 +12,24 @@
 	"molepaddle/internal/member"
 )
 
-// Evidence is what a steward was asked about, or says.
+const (
+	evidenceTimeout  = 1200 * time.Millisecond // for another steward's answer
+	evidenceReserve  = 100 * time.Millisecond  // of it, for the answer's way back
+	probeTimeout     = 500 * time.Millisecond  // for a server's answer
+	maxProbes        = 16                      // servers probed at once for one request
+	maxEvidence      = 256                     // servers of one request
+	maxEvidenceCalls = 4                       // requests served at once; one leader sends one at a time
+)
+
+// Evidence is a request for a steward's observation of servers, with Refs set, or the answer
+// to it, with From and Answers set.
 type Evidence struct {
 	From    string                   `json:"from,omitempty"`
 	Refs    []catalog.Ref            `json:"refs,omitempty"`
 	Answers map[string]member.Answer `json:"answers,omitempty"`
 }
 
+// serveEvidence probes the servers of a request and answers with what it observed.
 func (n *Node) serveEvidence(w http.ResponseWriter, r *http.Request) {
 	var b Evidence
 	if err := body(w, r, &b); err != nil {
@@ -29,18 +40,20 @@
 		refuse(w, bad("refs: %d of at most %d", len(b.Refs), maxEvidence))
 		return
 	}
-	if n.evidenceCalls.Add(1) > mostQuestions {
+	if n.evidenceCalls.Add(1) > maxEvidenceCalls {
 		n.evidenceCalls.Add(-1)
-		n.calls.refuse(w, evidenceWait) // who asked counts this one as silent
+		n.calls.refuse(w, evidenceTimeout) // who asked counts this one as silent
 		return
 	}
 	defer n.evidenceCalls.Add(-1)
-	answer(w, Evidence{From: n.c.Name, Answers: n.testify(r.Context(), b.Refs)})
+	answer(w, Evidence{From: n.c.Name, Answers: n.probeServers(r.Context(), b.Refs)})
 }
 
-// testify tells what this steward sees of servers, by asking them itself.
-func (n *Node) testify(ctx context.Context, refs []catalog.Ref) map[string]member.Answer {
-	ctx, cancel := context.WithTimeout(ctx, evidenceWait-100*time.Millisecond)
+// probeServers asks servers for their health and returns an observation for each that this
+// steward knows and had the time to ask. If this process itself was slow, it doesn't report
+// any server as silent.
+func (n *Node) probeServers(ctx context.Context, refs []catalog.Ref) map[string]member.Answer {
+	ctx, cancel := context.WithTimeout(ctx, evidenceTimeout-evidenceReserve)
 	defer cancel()
 	dials := make([]string, len(refs))
 	n.fsm.read(func(s *catalog.State) {
@@ -53,7 +66,7 @@
 	out := map[string]member.Answer{}
 	began := time.Now()
 	found := make([]member.Answer, len(refs))
-	places := make(chan struct{}, probeMany)
+	places := make(chan struct{}, maxProbes)
 	var all sync.WaitGroup
 	for i, dial := range dials {
 		if dial == "" {
@@ -68,10 +81,10 @@
 		}()
 	}
 	all.Wait()
-	slow := n.slow() || time.Since(began) > 2*evidenceWait
+	slow := n.wasPaused() || time.Since(began) > 2*evidenceTimeout
 	for i, a := range found {
 		if slow && a == member.Silent {
-			a = member.Unsure // who was late itself accuses nobody
+			a = member.Unsure // the delay may be this process's own
 		}
 		if a != member.None {
 			out[refs[i].Name] = a
@@ -80,12 +93,12 @@
 	return out
 }
 
-// probe asks a server how it is.
+// probe requests a server's health.
 func (n *Node) probe(ctx context.Context, dial string) member.Answer {
 	if ctx.Err() != nil {
 		return member.None // there was no time for it: not the server's fault
 	}
-	c, cancel := context.WithTimeout(ctx, probeWait)
+	c, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(c, http.MethodGet, "http://"+dial+"/health", nil)
 	if err != nil {
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -10,38 +10,22 @@
 	"molepaddle/internal/member"
 )
 
-// startGossip has this steward tell others that it is there, and hear who is.
+// startGossip joins the gossip protocol, if it is configured.
 func (n *Node) startGossip() error {
 	if n.c.Gossip == "" {
 		return nil
 	}
 	self := member.Info{Form: member.Form, Name: n.c.Name, Role: member.Steward, Zone: n.c.Zone, Program: Program(),
 		Speaks: member.Speaks{Gossip: member.Form, Catalog: catalog.Form}, ID: n.id}
-	g, err := gossip.Start(gossip.Config{Self: self, Listen: n.c.Gossip, Log: n.log, Tracker: member.Defaults(self),
-		Peers: func() map[string]string {
-			addrs := map[string]string{}
-			for name, p := range *n.table.Load() {
-				if p.Gossip != "" {
-					addrs[name] = p.Gossip
-				}
-			}
-			return addrs
-		},
-		Changed: func(changes []member.Change) {
-			for _, c := range changes {
-				n.m.changes.WithLabelValues(string(c.Role), string(c.To)).Inc()
-				if c.Role.Gossips() {
-					n.log.Info("member", "name", c.Name, "role", c.Role, "from", c.From, "to", c.To)
-				} else {
-					n.log.Debug("member", "name", c.Name, "role", c.Role, "from", c.From, "to", c.To)
-				}
-			}
-		},
-		Conflict: func(name, address string) {
-			if n.m.conflicts.Inc(); n.repeatedLogs.Allow() {
-				n.log.Error("two processes have one name: the one whose folder the catalog knows keeps it", "name", name, "other", address)
-			}
-		}})
+	g, err := gossip.Start(gossip.Config{
+		Self:     self,
+		Listen:   n.c.Gossip,
+		Log:      n.log,
+		Tracker:  member.Defaults(self),
+		Peers:    n.gossipPeers,
+		Changed:  n.logMemberChanges,
+		Conflict: n.logNameConflict,
+	})
 	if err != nil {
 		return err
 	}
@@ -49,7 +33,37 @@
 	return nil
 }
 
-// openSessionOf notes an agent that watches here, and returns what notes the end.
+// gossipPeers returns the gossip addresses in the table of peers, by name.
+func (n *Node) gossipPeers() map[string]string {
+	addrs := map[string]string{}
+	for name, p := range *n.table.Load() {
+		if p.Gossip != "" {
+			addrs[name] = p.Gossip
+		}
+	}
+	return addrs
+}
+
+func (n *Node) logMemberChanges(changes []member.Change) {
+	for _, c := range changes {
+		n.m.changes.WithLabelValues(string(c.Role), string(c.To)).Inc()
+		if c.Role.Gossips() {
+			n.log.Info("member", "name", c.Name, "role", c.Role, "from", c.From, "to", c.To)
+		} else {
+			n.log.Debug("member", "name", c.Name, "role", c.Role, "from", c.From, "to", c.To)
+		}
+	}
+}
+
+func (n *Node) logNameConflict(name, address string) {
+	if n.m.conflicts.Inc(); n.repeatedLogs.Allow() {
+		n.log.Error("two processes have one name: the one whose folder the catalog knows keeps it", "name", name, "other", address)
+	}
+}
+
+// openSessionOf opens a membership session for the agent that started a watch here, and
+// returns the function that closes it. Without gossip, or without a valid name in the request,
+// both do nothing.
 func (n *Node) openSessionOf(r *http.Request) func() {
 	name := r.Header.Get(endpoints.MemberHeader)
 	if n.gossip == nil || !endpoints.IsWord(name, endpoints.MaxName) {
@@ -63,6 +77,7 @@
 	}
 }
 
+// leaveSession records that an agent has stopped in order.
 func (n *Node) leaveSession(w http.ResponseWriter, r *http.Request) {
 	if n.gossip == nil {
 		http.Error(w, "gossip: off at this steward", http.StatusNotFound)
@@ -77,15 +92,17 @@
 	answer(w, struct{}{})
 }
 
-// slow tells whether this process stood still of late.
-func (n *Node) slow() (is bool) {
+// wasPaused reports whether this process was recently suspended or starved, so that what it
+// did not hear in time is no evidence against others.
+func (n *Node) wasPaused() (is bool) {
 	if n.gossip != nil {
 		n.gossip.Do(func(now time.Duration, t *member.Tracker) { is = t.Calm(now) })
 	}
 	return is
 }
 
-// absent is who the view doesn't have as present, of those that hold duties and gossip.
+// absent returns the processes that gossip and aren't present in the membership view. Without
+// gossip it returns nil.
 func (n *Node) absent() map[string]bool {
 	if n.gossip == nil {
 		return nil
@@ -95,7 +112,7 @@
 	return out
 }
 
-// gossipCounts offers what gossip counted as metrics.
+// gossipCounts returns the gossip counters by their name in the metrics.
 func (n *Node) gossipCounts() map[string]float64 {
 	if n.gossip == nil {
 		return nil
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -144,7 +144,7 @@
 				case err == nil:
 					n.log.Info("rejoining with an empty folder", "told_by", name)
 					return false, true, nil
-				case isConflict(err) && time.Since(n.began) > nameWait:
+				case isConflict(err) && time.Since(n.began) > nameConflictTimeout:
 					return false, false, fmt.Errorf("name: %w", err)
 				}
 			default:
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -17,23 +17,7 @@
 	"molepaddle/internal/member"
 )
 
-const (
-	arriveAgain  = 500 * time.Millisecond
-	inquireEvery = 250 * time.Millisecond
-	evidenceWait = 1200 * time.Millisecond // for another steward's answer
-	probeWait    = 500 * time.Millisecond  // for a server's
-	probeMany    = 16
-	verdictLasts = 3 * time.Second
-	maxEvidence  = 256 // servers of one question
-	// mostQuestions bounds the questions that are looked into at once: one leader asks one.
-	mostQuestions = 4
-	// nameWait is how long a name may seem to be another's: one that has lost its folder and is
-	// back at once has to be heard by the others before they know that it is not.
-	nameWait    = 10 * time.Second
-	votersEvery = time.Second
-)
-
-// Program is the version of this build.
+// Program returns the revision that this program was built from, or "unknown".
 func Program() string {
 	if b, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range b.Settings {
@@ -45,8 +29,8 @@
 	return "unknown"
 }
 
-// identity is drawn once for a data folder. By it another process of this name is told from
-// this one started again.
+// identity returns the identity of a data folder, which is drawn at random when the folder is
+// first used. It distinguishes a restart of this process from another process with its name.
 func identity(dir string) (string, error) {
 	path := filepath.Join(dir, "identity")
 	text, err := os.ReadFile(path)
@@ -63,6 +47,7 @@
 	return id, nil
 }
 
+// handleMembers adds the routes of membership.
 func (n *Node) handleMembers(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+endpoints.MembersPath, func(w http.ResponseWriter, _ *http.Request) {
 		if n.gossip == nil {
@@ -76,11 +61,13 @@
 	mux.HandleFunc("POST /v1/evidence", n.serveEvidence)
 }
 
-// Members reads what each of the client's stewards knows; those that don't answer are named.
-func Members(ctx context.Context, addrs []string, within time.Duration) (views []member.View, silent []string) {
+// Members reads the membership views of the stewards at the given addresses, in the order of
+// the stewards' names. It returns the addresses that didn't answer within the timeout, or
+// answered with an error, as silent.
+func Members(ctx context.Context, addrs []string, timeout time.Duration) (views []member.View, silent []string) {
 	for _, addr := range addrs {
 		var v member.View
-		if err := NewClient([]string{addr}, within).do(ctx, http.MethodGet, endpoints.MembersPath, nil, &v); err != nil {
+		if err := NewClient([]string{addr}, timeout).do(ctx, http.MethodGet, endpoints.MembersPath, nil, &v); err != nil {
 			silent = append(silent, addr)
 			continue
 		}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -60,11 +60,11 @@
 	id            string // identity of the data folder
 	startID       string // identity of this start of the process
 	gossip        *gossip.Node
-	judged        verdicts
+	verdicts      verdicts
 	evidenceCalls atomic.Int64  // evidence requests in flight
 	probes        *http.Client  // for health requests to servers
 	repeatedLogs  *rate.Limiter // limits log lines that one fault can repeat
-	failed        failures
+	failures      failures
 
 	readBarriers barriers
 	leaderChecks barriers
@@ -98,7 +98,7 @@
 		began:        time.Now(),
 		fatal:        make(chan error, 1),
 		startID:      rand.Text(),
-		probes:       &http.Client{Timeout: probeWait, Transport: &http.Transport{DisableKeepAlives: true}},
+		probes:       &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		repeatedLogs: rate.NewLimiter(1, 5),
 		peers: &http.Client{
 			Timeout:   peerWait,
@@ -135,9 +135,9 @@
 	}
 	n.own(n.leaderLoop)
 	n.own(n.watchLoop)
-	n.own(n.inquire)
+	n.own(n.evidenceLoop)
 	if n.gossip != nil {
-		n.own(n.arrive)
+		n.own(n.arrivalLoop)
 	}
 	n.serveDuties()
 	return nil
--- a/internal/control/renewals.go
+++ b/internal/control/renewals.go
@@ -11,7 +11,8 @@
 	"molepaddle/internal/member"
 )
 
-// heardRenewals notes which servers were heard here, on the way to the leader.
+// heardRenewals notes which servers renewed at this steward, before the renewals are passed on
+// to the leader. It leaves the body of the request readable.
 func (n *Node) heardRenewals(w http.ResponseWriter, r *http.Request) error {
 	if n.gossip == nil {
 		return nil
@@ -23,13 +24,14 @@
 	r.Body = io.NopCloser(bytes.NewReader(text))
 	var b Renewals
 	if r.Header.Get(forwarded) == "" && json.Unmarshal(text, &b) == nil && len(b.Refs) <= maxRefs {
-		n.hear(b.Refs)
+		n.noteRenewals(b.Refs)
 	}
 	return nil
 }
 
-// hear notes servers that the catalog knows by name and birth.
-func (n *Node) hear(refs []catalog.Ref) {
+// noteRenewals records in the membership tracker the servers among refs that the catalog has
+// under the same name and start time.
+func (n *Node) noteRenewals(refs []catalog.Ref) {
 	var known []catalog.Ref
 	zones := map[string]string{}
 	n.fsm.read(func(s *catalog.State) {
--- a/internal/control/verdicts.go
+++ b/internal/control/verdicts.go
@@ -11,30 +11,37 @@
 	"molepaddle/internal/member"
 )
 
-// verdicts is what the stewards said of servers that are in doubt.
+const (
+	evidenceInterval = 250 * time.Millisecond // between rounds of evidence requests
+	verdictMaxAge    = 3 * time.Second        // older observations are dropped
+)
+
+// verdicts holds what the voters observed of servers whose leases are in doubt.
 type verdicts struct {
 	mu     sync.Mutex
-	about  map[string]testimony
-	voters []string
+	about  map[string]testimony // by server
+	voters []string             // that were asked last
 }
 
+// testimony is what each voter observed of one start of a server.
 type testimony struct {
 	bornMs  float64
 	at      time.Time
-	answers map[string]member.Answer
+	answers map[string]member.Answer // by voter
 }
 
-// judge is how leases are decided: by what most of the stewards that vote said of late.
+// judge returns the rule by which expired leases are decided: by the majority of the voters'
+// recent observations, or by the lease alone where evidence is off.
 func (n *Node) judge() catalog.Judge {
 	if !n.c.Evidence {
 		return catalog.LeaseAlone
 	}
-	n.judged.mu.Lock()
-	about, voters := n.judged.about, n.judged.voters
-	n.judged.mu.Unlock()
+	n.verdicts.mu.Lock()
+	about, voters := n.verdicts.about, n.verdicts.voters
+	n.verdicts.mu.Unlock()
 	return func(ref catalog.Ref, over bool) catalog.Evidence {
 		t, ok := about[ref.Name]
-		if !ok || t.bornMs != ref.BornMs || time.Since(t.at) > verdictLasts {
+		if !ok || t.bornMs != ref.BornMs || time.Since(t.at) > verdictMaxAge {
 			return catalog.Unsettled
 		}
 		switch member.Judge(voters, true, over, t.answers) {
@@ -47,10 +54,10 @@
 	}
 }
 
-// inquire has the stewards that vote asked about servers that are not heard, while this one
-// leads. What they say counts only if this one was shown to lead after it was said.
-func (n *Node) inquire() {
-	t := time.NewTicker(inquireEvery)
+// evidenceLoop has the voters asked about servers whose leases are in doubt, while this
+// steward leads. It returns when the steward stops.
+func (n *Node) evidenceLoop() {
+	t := time.NewTicker(evidenceInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -58,86 +65,103 @@
 		case <-n.ctx.Done():
 			return
 		}
-		now, leads := n.elapsed()
-		if !leads || !n.c.Evidence {
-			continue
-		}
-		var refs []catalog.Ref
-		n.lead.Lock()
-		if n.leases != nil {
-			n.fsm.read(func(s *catalog.State) { refs = n.leases.Doubtful(s, now) })
-		}
-		n.lead.Unlock()
+		refs := n.doubtful()
 		if len(refs) == 0 {
 			continue
 		}
 		voters := n.voters()
-		answers := n.ask(voters, refs)
+		answers := n.collectEvidence(voters, refs)
+		// The answers count only if this steward still led after they were given.
 		if n.verifyLeader(n.ctx) != nil {
 			continue
 		}
-		at := time.Now()
-		n.judged.mu.Lock()
-		about := map[string]testimony{}
-		for name, t := range n.judged.about { // those asked about in another turn
-			if at.Sub(t.at) <= verdictLasts {
-				about[name] = t
-			}
-		}
-		for _, ref := range refs {
-			about[ref.Name] = testimony{ref.BornMs, at, answers[ref.Name]}
+		n.verdicts.update(time.Now(), voters, refs, answers)
+	}
+}
+
+// doubtful returns the servers that evidence is needed about. It is empty on a follower and
+// where evidence is off.
+func (n *Node) doubtful() (refs []catalog.Ref) {
+	now, leads := n.elapsed()
+	if !leads || !n.c.Evidence {
+		return nil
+	}
+	n.lead.Lock()
+	defer n.lead.Unlock()
+	if n.leases != nil {
+		n.fsm.read(func(s *catalog.State) { refs = n.leases.Doubtful(s, now) })
+	}
+	return refs
+}
+
+// update adds the observations of one round and drops those that are too old.
+func (v *verdicts) update(at time.Time, voters []string, refs []catalog.Ref, answers map[string]map[string]member.Answer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	about := map[string]testimony{} // a new map: judge reads the old one without the lock
+	for name, t := range v.about {
+		if at.Sub(t.at) <= verdictMaxAge {
+			about[name] = t
 		}
-		n.judged.about, n.judged.voters = about, voters
-		n.judged.mu.Unlock()
 	}
+	for _, ref := range refs {
+		about[ref.Name] = testimony{ref.BornMs, at, answers[ref.Name]}
+	}
+	v.about, v.voters = about, voters
+}
+
+// observation is one voter's answers by server, nil if it gave none.
+type observation struct {
+	voter   string
+	answers map[string]member.Answer
 }
 
-// ask returns what each voter says, by server and voter.
-func (n *Node) ask(voters []string, refs []catalog.Ref) map[string]map[string]member.Answer {
-	ctx, cancel := context.WithTimeout(n.ctx, evidenceWait)
+// collectEvidence asks all voters at once and returns their answers by server and voter.
+// Voters that don't answer in time are left out.
+func (n *Node) collectEvidence(voters []string, refs []catalog.Ref) map[string]map[string]member.Answer {
+	ctx, cancel := context.WithTimeout(n.ctx, evidenceTimeout)
 	defer cancel()
-	type said struct {
-		from    string
-		answers map[string]member.Answer
-	}
-	heard := make(chan said, len(voters))
-	for _, v := range voters {
-		go func() {
-			if v == n.c.Name {
-				heard <- said{v, n.testify(ctx, refs)}
-				return
-			}
-			p, known := (*n.table.Load())[v]
-			if !known {
-				heard <- said{from: v}
-				return
-			}
-			var e Evidence
-			err := call(ctx, n.peers, http.MethodPost, "http://"+p.HTTP+"/v1/evidence", Evidence{Refs: refs}, &e)
-			var refused *HTTPError
-			switch {
-			case errors.As(err, &refused) && refused.Status == http.StatusNotFound:
-				e.From, e.Answers = v, map[string]member.Answer{}
-				for _, ref := range refs {
-					e.Answers[ref.Name] = member.Agrees
-				}
-			case err != nil || e.From != v: // the table may lead to another
-				e.Answers = nil
-			}
-			heard <- said{v, e.Answers}
-		}()
+	observations := make(chan observation, len(voters))
+	for _, voter := range voters {
+		go func() { observations <- observation{voter, n.requestEvidence(ctx, voter, refs)} }()
 	}
 	out := map[string]map[string]member.Answer{}
 	for _, ref := range refs {
 		out[ref.Name] = map[string]member.Answer{}
 	}
 	for range voters {
-		s := <-heard
-		for name, a := range s.answers {
+		o := <-observations
+		for name, answer := range o.answers {
 			if out[name] != nil {
-				out[name][s.from] = a
+				out[name][o.voter] = answer
 			}
 		}
 	}
 	return out
 }
+
+// requestEvidence returns one voter's answers by server, or nil if it gave none. A steward of
+// a version without evidence agrees with whatever the leases say.
+func (n *Node) requestEvidence(ctx context.Context, voter string, refs []catalog.Ref) map[string]member.Answer {
+	if voter == n.c.Name {
+		return n.probeServers(ctx, refs)
+	}
+	p, known := (*n.table.Load())[voter]
+	if !known {
+		return nil
+	}
+	var e Evidence
+	err := call(ctx, n.peers, http.MethodPost, "http://"+p.HTTP+"/v1/evidence", Evidence{Refs: refs}, &e)
+	var refused *HTTPError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		agreed := map[string]member.Answer{}
+		for _, ref := range refs {
+			agreed[ref.Name] = member.Agrees
+		}
+		return agreed
+	}
+	if err != nil || e.From != voter { // the table may lead to another steward
+		return nil
+	}
+	return e.Answers
+}
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -12,29 +12,41 @@
 	"molepaddle/internal/member"
 )
 
-// failures is since when the leader has had members as failed.
+const (
+	votersInterval = time.Second // between steps of the voters task
+	maxReplicaLag  = 16          // entries by which a steward may lag and still become a voter
+)
+
+// failures holds since when the leader has seen each failed member as failed.
 type failures struct {
 	mu    sync.Mutex
 	since map[string]time.Time
 }
 
-// fleet is the stewards as the leader knows them.
-func (n *Node) fleet() member.Fleet {
-	f := member.Fleet{Failed: map[string]time.Duration{}, There: map[string]bool{}, Leader: n.c.Name, Wanted: n.c.Voters, After: n.c.ReplaceAfter}
+// voterFleet returns what the leader knows of the stewards in the raft configuration: which
+// vote, which are present and caught up, and for how long others have failed.
+func (n *Node) voterFleet() member.Fleet {
+	f := member.Fleet{
+		Failed: map[string]time.Duration{},
+		There:  map[string]bool{},
+		Leader: n.c.Name,
+		Wanted: n.c.Voters,
+		After:  n.c.ReplaceAfter,
+	}
 	conf := n.raft().GetConfiguration()
 	if conf.Error() != nil {
 		return f
 	}
 	committed := n.raft().CommitIndex()
-	caught := map[string]bool{n.c.Name: true}
+	caughtUp := map[string]bool{n.c.Name: true}
 	for _, st := range n.peerStatuses() {
-		caught[st.Name] = st.Applied > 0 && st.Applied+16 >= committed
+		caughtUp[st.Name] = st.Applied > 0 && st.Applied+maxReplicaLag >= committed
 	}
 	v := n.gossip.View()
-	n.failed.mu.Lock()
-	defer n.failed.mu.Unlock()
-	if n.failed.since == nil {
-		n.failed.since = map[string]time.Time{}
+	n.failures.mu.Lock()
+	defer n.failures.mu.Unlock()
+	if n.failures.since == nil {
+		n.failures.since = map[string]time.Time{}
 	}
 	for _, s := range conf.Configuration().Servers {
 		name := string(s.ID)
@@ -42,25 +54,26 @@
 		if name == n.c.Name {
 			state = member.Present
 		}
-		f.There[name] = state == member.Present && caught[name]
+		f.There[name] = state == member.Present && caughtUp[name]
 		if s.Suffrage == raft.Voter {
 			f.Voters = append(f.Voters, name)
 		} else {
 			f.Spares = append(f.Spares, name)
 		}
 		if state != member.Failed && state != member.Left {
-			delete(n.failed.since, name)
+			delete(n.failures.since, name)
 			continue
 		}
-		if n.failed.since[name].IsZero() {
-			n.failed.since[name] = time.Now()
+		if n.failures.since[name].IsZero() {
+			n.failures.since[name] = time.Now()
 		}
-		f.Failed[name] = time.Since(n.failed.since[name])
+		f.Failed[name] = time.Since(n.failures.since[name])
 	}
 	return f
 }
 
-// stepVoters takes one step towards as many voters as are wanted, all of them alive.
+// stepVoters changes the raft configuration by one step towards the wanted number of voters,
+// all of them alive, and answers with that step. It refuses an outdated fencing token.
 func (n *Node) stepVoters(w http.ResponseWriter, r *http.Request) error {
 	var b fenceBody
 	if err := body(w, r, &b); err != nil {
@@ -70,13 +83,13 @@
 		answer(w, struct{}{})
 		return nil
 	}
-	f := n.fleet()
+	f := n.voterFleet()
 	step, some := member.Replace(&f)
 	if !some {
 		answer(w, step)
 		return nil
 	}
-	// The step is this duty's, and this steward leads: shown by an entry of the log.
+	// A committed entry shows that the fencing token is valid and that this steward leads.
 	res, err := n.propose(catalog.Command{Kind: catalog.Check, Under: votersDuty, Fence: b.Fence})
 	if err != nil {
 		return err
@@ -84,15 +97,7 @@
 	if res.Code != catalog.Done {
 		return &refusal{res}
 	}
-	switch {
-	case step.Add != "":
-		err = n.raft().AddVoter(raft.ServerID(step.Add), raft.ServerAddress(step.Add), 0, applyWait).Error()
-	case step.Demote != "":
-		err = n.raft().DemoteVoter(raft.ServerID(step.Demote), 0, applyWait).Error()
-	default:
-		err = n.raft().RemoveServer(raft.ServerID(step.Remove), 0, applyWait).Error()
-	}
-	if err != nil {
+	if err := n.changeVoters(step); err != nil {
 		return membership(err)
 	}
 	n.m.replaced.Inc()
@@ -101,7 +106,20 @@
 	return nil
 }
 
-// rejoinLost asks to be a spare where this steward was replaced while it was away.
+// changeVoters applies one step to the raft configuration.
+func (n *Node) changeVoters(step member.Step) error {
+	switch {
+	case step.Add != "":
+		return n.raft().AddVoter(raft.ServerID(step.Add), raft.ServerAddress(step.Add), 0, applyWait).Error()
+	case step.Demote != "":
+		return n.raft().DemoteVoter(raft.ServerID(step.Demote), 0, applyWait).Error()
+	default:
+		return n.raft().RemoveServer(raft.ServerID(step.Remove), 0, applyWait).Error()
+	}
+}
+
+// rejoinLost asks the leader to add this steward as a spare if it was removed from the raft
+// configuration while it was away.
 func (n *Node) rejoinLost(found []Status) {
 	if n.c.Voters == 0 || n.raft() == nil {
 		return
