--- a/internal/lab/cost/fleet.go
+++ b/internal/lab/cost/fleet.go
@@ -48,8 +48,9 @@
 // serves the list, and a handful of emulated servers behind all the names.
 //
 // Several names dial the same address, so that 39,000 names need no 39,000 listeners. The
-// agent keeps its connections by name, not by address, so it reuses them exactly as it
-// would with that many machines: with 39,000 names nearly every call opens a new connection.
+// agent keeps its connections by name, not by address, so it reuses them, or opens new ones,
+// as it would with that many machines. Calls about the same key tend to the same server; how
+// many connections a call opens is measured.
 type Fleet struct {
 	List      endpoints.List
 	Addresses []string // of the emulated servers
