Warm an agent up for as long as it is measured

Cause: an agent keeps idle connections for 15 s, and after a warm-up of 2 s a window of 10 s ended before it ran out of them.

--- a/internal/lab/cost/cell.go
+++ b/internal/lab/cost/cell.go
@@ -18,8 +18,6 @@
 	readyTimeout = 30 * time.Second
 	// restAfterStart lets what belongs to the start end before the idle window.
 	restAfterStart = time.Second
-	// warmup is the load before the measured window.
-	warmup = 2 * time.Second
 	// maxLateness is the p99 of the lab's own lateness above which a cell says nothing.
 	maxLateness = 10 * time.Millisecond
 	pollPeriod  = 10 * time.Millisecond
@@ -75,7 +73,7 @@
 	}
 	caller := newCaller(addr, fleet.Addresses)
 	defer caller.close()
-	sends, pairs := drawSends(rate, warmup, o.Seed+1)
+	sends, pairs := drawSends(rate, o.warmup(), o.Seed+1)
 	if _, err := caller.run(ctx, sends, pairs); err != nil {
 		return nil, err
 	}
--- a/internal/lab/cost/cost.go
+++ b/internal/lab/cost/cost.go
@@ -54,6 +54,11 @@
 // idleWindow is how long an agent is measured without load.
 func (o *Options) idleWindow() time.Duration { return max(o.Window/3, MinWindow) }
 
+// warmup is how long the load lasts before the measured window. An agent keeps idle
+// connections for 15 s: the number of those that it holds is steady only once warm-up and
+// window together are longer than that.
+func (o *Options) warmup() time.Duration { return o.Window }
+
 // Validate reports the first option that makes no sense by its flag.
 func (o *Options) Validate() error {
 	if len(o.Servers) == 0 {
