Index the replicated state by service, hold the target's fleet, guard each service's share

Readers that subscribe to services need their services' changes and lists at the services' cost. Each entry carries the version of its last change, so a service's history follows from its entries, their remembered ends and the servers that left it; the index is derived and built again by Decode. Encoded are only the departures (8,192 at most) and the versions from which on a service's changes can be told, so a churn elsewhere never costs a reader its place. MaxEntries 64,000 and MaxHistory 16,384 hold the target with room. The guard holds the servers of one service of at least 5 by the service's own share; the fleet's rule is as before. Held entries are counted, where each command scanned all entries before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -36,6 +36,9 @@
 	Set      Kind = "set"      // Name, Share, Health, If: an operator's word
 )
 
+// HoldService is the Why of a Hold whose mass failure is of one service only.
+const HoldService = "service"
+
 // Ref names one process of a server: its name, and when it was born.
 type Ref struct {
 	Name   string  `json:"name"`
@@ -92,10 +95,13 @@
 
 // Bounds of the state.
 const (
-	// MaxEntries is how many names there may be, those kept for a while after their end included.
-	MaxEntries = 20_000
-	// MaxHistory is how many changes are kept for watches; one from before them gets the whole list.
-	MaxHistory = 4096
+	// MaxEntries is how many names there may be, those kept for a while after their end included:
+	// 39,000 servers, a region of 6,500 whose names are all replaced, 9,100 replacements of a day,
+	// and a sixth on top.
+	MaxEntries = 64_000
+	// MaxHistory is how many changes are kept for watches of the whole list; one from before them
+	// gets the whole list. A region that is lost and comes back is 13,000.
+	MaxHistory = 16_384
 	// keepGone is how long the end of a name is remembered: for an older process of that
 	// name that is heard late, and for its comings and goings.
 	keepGone = 10 * time.Minute
@@ -109,15 +115,19 @@
 
 // Entry is a server as the state knows it.
 type Entry struct {
-	Host    endpoints.Host  `json:"host"` // as it was registered
-	Version int64           `json:"version"`
-	Share   *float64        `json:"share,omitempty"`  // an operator's
-	Health  string          `json:"health,omitempty"` // an operator's
-	Ended   bool            `json:"ended,omitempty"`
-	EndedAt time.Duration   `json:"ended_at,omitempty"`
-	Held    bool            `json:"held,omitempty"`   // would have lapsed in a mass failure
-	Ends    []time.Duration `json:"ends,omitempty"`   // its last ends
-	Damped  time.Duration   `json:"damped,omitempty"` // unlisted until then; 0: it is not
+	Host    endpoints.Host `json:"host"` // as it was registered
+	Version int64          `json:"version"`
+	Share   *float64       `json:"share,omitempty"`  // an operator's
+	Health  string         `json:"health,omitempty"` // an operator's
+	Ended   bool           `json:"ended,omitempty"`
+	EndedAt time.Duration  `json:"ended_at,omitempty"`
+	Held    bool           `json:"held,omitempty"` // would have lapsed in a mass failure
+	// HeldByService is of a held entry: the failure is of its service alone.
+	HeldByService bool            `json:"held_by_service,omitempty"`
+	Ends          []time.Duration `json:"ends,omitempty"`   // its last ends
+	Damped        time.Duration   `json:"damped,omitempty"` // unlisted until then; 0: it is not
+
+	counted bool // it is in its service's number of listed servers
 }
 
 // Listed is the entry as readers see it. It leaves the service out: readers that know no
@@ -160,11 +170,19 @@
 	Members  map[string]*Member  `json:"members,omitempty"`
 	// Incarnation is the last that was given.
 	Incarnation int64 `json:"incarnation,omitempty"`
+	// Scopes is what readers of services need; snapshots from before there were services have none.
+	Scopes *Scopes `json:"scopes,omitempty"`
+
+	// What follows is derived from the above, and built again when a snapshot is read.
+	services map[string]*service
+	listed   int // servers that are on the list
+	held     int // entries that are held
 }
 
 // New is the empty state.
 func New() *State {
-	return &State{Form: Form, Entries: map[string]*Entry{}, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}, Members: map[string]*Member{}}
+	return &State{Form: Form, Entries: map[string]*Entry{}, Sessions: map[string]*Session{}, Duties: map[string]*Duty{}, Members: map[string]*Member{},
+		Scopes: &Scopes{}, services: map[string]*service{}}
 }
 
 // Encode words the state; one state has one wording.
@@ -179,7 +197,7 @@
 // Decode reads what Encode wrote, and refuses what this build can't read.
 func Decode(text []byte) (*State, error) {
 	s := New()
-	s.Form = 0
+	s.Form, s.Scopes = 0, nil
 	if err := json.Unmarshal(text, s); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
@@ -189,7 +207,13 @@
 	if s.Entries == nil {
 		s.Entries = map[string]*Entry{}
 	}
-	if err := errors.Join(s.checkDuties(), s.checkMembers()); err != nil {
+	if s.Scopes == nil {
+		// What changed in a service before is not known: its readers get the whole list. The
+		// floor may so differ between processes that read different snapshots from before there
+		// were services, until the version is raised; nothing that is decided depends on it.
+		s.Scopes = &Scopes{Floor: s.Seq}
+	}
+	if err := errors.Join(s.checkDuties(), s.checkMembers(), s.checkScopes()); err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
 	for name, e := range s.Entries {
@@ -199,6 +223,9 @@
 		if err := e.Host.Validate(); err != nil {
 			return nil, fmt.Errorf("snapshot: entry %q: %w", name, err)
 		}
+		if e.Version > s.Seq {
+			return nil, fmt.Errorf("snapshot: entry %q: version %d is beyond the state's", name, e.Version)
+		}
 	}
 	last := int64(math.MinInt64)
 	for _, c := range s.History {
@@ -207,6 +234,7 @@
 		}
 		last = c.Seq
 	}
+	s.rebuildIndex()
 	return s, nil
 }
 
@@ -231,12 +259,13 @@
 			// A reader who comes with a version below it may have it from another life of the
 			// service, so no change leads on from there: it gets the whole list.
 			s.Seq, s.History = c.Seq, nil
+			s.resetScopes(c.Seq)
 		}
 		return s.result(Done, "")
 	case Register:
 		return s.register(c.Host)
 	case Drain, Leave, Lapse, Hold, Seen, Admit:
-		return s.each(c.Kind, c.Refs)
+		return s.each(c)
 	case Confirm:
 		return s.confirm()
 	case Set:
@@ -258,9 +287,10 @@
 	s.Seq++
 	e.Version = s.Seq
 	if len(s.History) >= MaxHistory {
-		s.History = append(s.History[:0], s.History[len(s.History)-MaxHistory+1:]...)
+		s.History = s.History[len(s.History)-MaxHistory+1:]
 	}
 	s.History = append(s.History, change{s.Seq, e.Host.Host})
+	s.index(e)
 }
 
 // register takes a server's word for itself. The process that was born last has the name.
@@ -291,22 +321,28 @@
 		return s.result(Superseded, fmt.Sprintf("%s was born later, at %.0f", h.Host, e.Host.BornMs))
 	}
 	was := e.Listed()
-	held := e.Held
+	left, moves := e.Host.Service, e.Host.Service != h.Service
 	again := e.Ended
 	if !e.Ended && e.Host.BornMs < h.BornMs {
 		s.end(e) // the process before ended and nobody noticed
 		again = true
 	}
-	e.Host, e.Held, e.Ended, e.EndedAt = *h, false, false, 0
+	s.setHeld(e, false)
+	if moves {
+		s.removeFromService(e)
+	}
+	e.Host, e.Ended, e.EndedAt = *h, false, 0
 	if again {
 		e.Damped = s.damp(e)
 	}
-	if held {
-		s.settle()
-	}
-	if e.Listed() != was || again && e.Damped == 0 {
+	s.settle()
+	if e.Listed() != was || again && e.Damped == 0 || moves {
 		s.touch(e)
 	}
+	if moves {
+		s.noteMove(Departure{Seq: s.Seq, Name: h.Host, Service: left})
+		s.boundFloors()
+	}
 	r := s.result(Done, "")
 	if e.Damped > 0 {
 		r.DampedFor = e.Damped - s.Clock
@@ -316,7 +352,8 @@
 
 // end notes the end of an entry's process.
 func (s *State) end(e *Entry) {
-	e.Ended, e.EndedAt, e.Held = true, s.Clock, false
+	s.setHeld(e, false)
+	e.Ended, e.EndedAt = true, s.Clock
 	e.Ends = append(e.Ends, s.Clock)
 	if most := flapAfter + 5; len(e.Ends) > most {
 		e.Ends = e.Ends[len(e.Ends)-most:]
@@ -339,8 +376,8 @@
 
 // each carries out a command on the processes that it names; one that has been replaced
 // or has ended meanwhile is passed over.
-func (s *State) each(kind Kind, refs []Ref) Result {
-	done := 0
+func (s *State) each(c *Command) Result {
+	done, refs := 0, c.Refs
 	for _, ref := range refs {
 		e := s.Entries[ref.Name]
 		if e == nil || e.Ended || e.Host.BornMs != ref.BornMs {
@@ -348,17 +385,19 @@
 		}
 		done++
 		was := e.Listed()
-		switch kind {
+		switch c.Kind {
 		case Drain:
 			e.Host.Health = endpoints.Draining
 		case Leave, Lapse:
 			s.end(e)
 		case Hold:
-			if e.Held = true; s.HeldSince == 0 {
+			s.setHeld(e, true)
+			e.HeldByService = c.Why == HoldService
+			if s.HeldSince == 0 {
 				s.HeldSince = max(s.Clock, 1)
 			}
 		case Seen:
-			e.Held = false
+			s.setHeld(e, false)
 		case Admit:
 			if e.Damped > 0 && s.Clock >= e.Damped {
 				e.Damped = 0
@@ -381,15 +420,23 @@
 
 // settle ends the guard's hold when nothing is held any more.
 func (s *State) settle() {
-	if s.HeldSince == 0 {
-		return
+	if s.held == 0 {
+		s.HeldSince = 0
 	}
-	for _, e := range s.Entries {
-		if e.Held {
-			return
-		}
+}
+
+// setHeld marks an entry as held or not, and counts it.
+func (s *State) setHeld(e *Entry, held bool) {
+	switch {
+	case held && !e.Held:
+		s.held++
+	case !held && e.Held:
+		s.held--
+	}
+	e.Held = held
+	if !held {
+		e.HeldByService = false
 	}
-	s.HeldSince = 0
 }
 
 // confirm ends what is held.
@@ -437,12 +484,15 @@
 	for name, e := range s.Entries {
 		if e.Ended && s.Clock-e.EndedAt > keepGone {
 			delete(s.Entries, name)
+			s.raiseFloor(e.Host.Service, e.Version)
+			s.removeFromService(e)
 			dropped = true
 		}
 	}
 	if !dropped {
 		return
 	}
+	s.boundFloors()
 	// A watch from before a dropped end can't be told of it, so it gets the whole list:
 	// the history begins behind the last change of what was dropped.
 	for i := len(s.History) - 1; i >= 0; i-- {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -132,6 +132,7 @@
 func obey(s *State, now time.Duration, d Decision) {
 	do(s, now, Command{Kind: Lapse, Refs: d.Lapse})
 	do(s, now, Command{Kind: Hold, Refs: d.Hold})
+	do(s, now, Command{Kind: Hold, Refs: d.HoldService, Why: HoldService})
 	do(s, now, Command{Kind: Seen, Refs: d.Seen})
 	do(s, now, Command{Kind: Admit, Refs: d.Admit})
 }
--- a/internal/catalog/lease.go
+++ b/internal/catalog/lease.go
@@ -3,15 +3,14 @@
 import (
 	"sort"
 	"time"
-
-	"molepaddle/internal/endpoints"
 )
 
 // LeaseConfig is how leases end.
 type LeaseConfig struct {
 	TTL time.Duration // from one renewal on
 	// Share of the listed servers that may lapse within Window; of more, all that would are
-	// kept until they are heard again or an operator confirms.
+	// kept until they are heard again or an operator confirms. The same share holds for each
+	// service of at least MinGuardedService servers, whose own are kept then.
 	Share  float64
 	Window time.Duration
 }
@@ -23,12 +22,31 @@
 	until  map[string]lease
 	lapsed []time.Duration // the lapses within the window, in order
 	listed int             // servers that were listed when the window began
-	turn   int             // of those that are asked about
+	// services are the lapses within the window by service.
+	services map[string]*serviceLapses
+	turn     int // of those that are asked about
 	// Kept and Waiting count, at the last decision, the servers whose leases are over and that
 	// stay: because most see them, or because too little is known.
 	Kept, Waiting int
 }
 
+// MinGuardedService is how many servers a service must have listed for the guard to hold them
+// by the service's own share. The servers of a smaller one are held by the fleet's share only,
+// so that a service of one server can end.
+const MinGuardedService = 5
+
+// serviceLapses is what lapsed of one service within the window.
+type serviceLapses struct {
+	lapsed []time.Duration
+	listed int // servers that were listed when the window began
+}
+
+// serviceDoubt counts the servers of one service that are not heard.
+type serviceDoubt struct {
+	silent int // their leases are over, or about to be, and nobody is known to see them
+	held   int // by the service's share
+}
+
 type lease struct {
 	bornMs  float64
 	expires time.Duration
@@ -37,6 +55,8 @@
 // Decision is what the leader should propose.
 type Decision struct {
 	Lapse, Hold, Seen, Admit []Ref
+	// HoldService are those that are held because the failure is of their service alone.
+	HoldService []Ref
 }
 
 // Evidence is what others say of a server that is not heard.
@@ -94,12 +114,12 @@
 
 // Empty tells whether there is nothing to propose.
 func (d *Decision) Empty() bool {
-	return len(d.Lapse)+len(d.Hold)+len(d.Seen)+len(d.Admit) == 0
+	return len(d.Lapse)+len(d.Hold)+len(d.HoldService)+len(d.Seen)+len(d.Admit) == 0
 }
 
 // Lead begins a leader's time: every lease has its full time from now on.
 func Lead(c LeaseConfig, s *State, now time.Duration) *Leases {
-	l := &Leases{c: c, until: map[string]lease{}}
+	l := &Leases{c: c, until: map[string]lease{}, services: map[string]*serviceLapses{}}
 	for name, e := range s.Entries {
 		if !e.Ended {
 			l.until[name] = lease{e.Host.BornMs, now + c.TTL}
@@ -130,13 +150,20 @@
 	var d Decision
 	var ended, early []Ref
 	listed, held, late := 0, 0, 0
+	doubts := map[string]*serviceDoubt{}
+	doubt := func(e *Entry) *serviceDoubt {
+		if doubts[e.Host.Service] == nil {
+			doubts[e.Host.Service] = &serviceDoubt{}
+		}
+		return doubts[e.Host.Service]
+	}
 	l.Kept, l.Waiting = 0, 0
 	for name, e := range s.Entries {
 		if e.Ended {
 			delete(l.until, name)
 			continue
 		}
-		if e.Listed().Health != endpoints.Gone {
+		if e.isListed() {
 			listed++
 		}
 		ref := Ref{name, e.Host.BornMs}
@@ -161,6 +188,8 @@
 		switch {
 		case e.Held && (!over || said == Stays):
 			d.Seen = append(d.Seen, ref)
+		case e.HeldByService:
+			doubt(e).held++
 		case e.Held:
 			held++
 		case said == Stays:
@@ -169,10 +198,13 @@
 			}
 		case over && said == Gone:
 			ended = append(ended, ref)
+			doubt(e).silent++
 		case said == Gone:
 			early = append(early, ref)
+			doubt(e).silent++
 		default:
 			late++
+			doubt(e).silent++
 			if over {
 				l.Waiting++
 			}
@@ -196,10 +228,59 @@
 		d.Hold = ended
 		return d
 	}
-	d.Lapse = append(ended, early...)
+	guarded := l.guarded(s, now, doubts)
+	isGuarded := func(ref Ref) bool { return guarded[s.Entries[ref.Name].Host.Service] }
+	for _, ref := range ended {
+		if isGuarded(ref) {
+			d.HoldService = append(d.HoldService, ref)
+		} else {
+			d.Lapse = append(d.Lapse, ref)
+		}
+	}
+	for _, ref := range early {
+		if !isGuarded(ref) {
+			d.Lapse = append(d.Lapse, ref)
+		}
+	}
 	byName(d.Lapse)
-	for range d.Lapse {
+	for _, ref := range d.Lapse {
 		l.lapsed = append(l.lapsed, now)
+		l.noteLapse(s, s.Entries[ref.Name].Host.Service, now)
 	}
 	return d
 }
+
+// guarded is the services of which too many servers are silent at once to be believed.
+func (l *Leases) guarded(s *State, now time.Duration, doubts map[string]*serviceDoubt) map[string]bool {
+	for name, of := range l.services {
+		for len(of.lapsed) > 0 && now-of.lapsed[0] > l.c.Window {
+			of.lapsed = of.lapsed[1:]
+		}
+		if len(of.lapsed) == 0 {
+			delete(l.services, name)
+		}
+	}
+	guarded := map[string]bool{}
+	for name, doubt := range doubts {
+		listed, lapsed := s.ServiceSize(name), 0
+		if of := l.services[name]; of != nil {
+			listed, lapsed = max(listed, of.listed), len(of.lapsed)
+		}
+		if listed < MinGuardedService {
+			continue
+		}
+		most := max(int(l.c.Share*float64(listed)), 1)
+		guarded[name] = doubt.held > 0 || lapsed+doubt.silent > most
+	}
+	return guarded
+}
+
+// noteLapse counts a lapse of a service's server within the window.
+func (l *Leases) noteLapse(s *State, service string, now time.Duration) {
+	of := l.services[service]
+	if of == nil {
+		of = &serviceLapses{listed: s.ServiceSize(service)}
+		l.services[service] = of
+	}
+	of.lapsed = append(of.lapsed, now)
+}
--- /dev/null
+++ b/internal/catalog/services.go
@@ -0,0 +1,356 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"molepaddle/internal/endpoints"
+)
+
+// Bounds of what is kept for readers that subscribe to services.
+const (
+	// MaxMoves is how many servers that left a service for another are remembered, over all services.
+	MaxMoves = 8192
+	// MaxServiceFloors is how many services have an oldest version of their own. Of more, all
+	// services take the latest of them.
+	MaxServiceFloors = 4096
+	// MaxServiceChanges is by how many a list of changes may be longer than the whole list of
+	// the same services; a reader that would get more gets the whole list.
+	MaxServiceChanges = 256
+)
+
+// Scopes is the part of the state that readers of services need beyond the entries: each
+// entry carries the version of its last change, so the changes of a service after a version
+// are those of its entries with a later one, and the servers that left it since.
+type Scopes struct {
+	// Floor is the version from which on the changes of every service can be told.
+	Floor int64 `json:"floor,omitempty"`
+	// Floors are later versions of services some of whose ends or moves were dropped.
+	Floors map[string]int64 `json:"floors,omitempty"`
+	Moved  []Departure      `json:"moved,omitempty"` // by version
+}
+
+// Departure is a server that left a service for another.
+type Departure struct {
+	Seq     int64  `json:"seq"`
+	Name    string `json:"name"`
+	Service string `json:"service,omitempty"` // that it left
+}
+
+// service is the index of one service. It follows from the entries and the moves, and is
+// built again when a snapshot is read.
+type service struct {
+	entries map[string]*Entry // ended ones included
+	moved   map[string]int64  // the versions at which servers left for another service
+	// changes are in order of versions. Some are outdated: the entry has changed again.
+	changes []change
+	listed  int
+	changed int64 // version of the last change
+}
+
+// Scoped is the entry as readers see it that subscribe to services.
+func (e *Entry) Scoped() endpoints.Host {
+	h := e.Listed()
+	h.Service = e.Host.Service
+	return h
+}
+
+// isListed tells whether the entry is on the list.
+func (e *Entry) isListed() bool { return !e.Ended && e.Damped <= 0 }
+
+// service returns the index of a service, and creates it if there is none.
+func (s *State) service(name string) *service {
+	svc := s.services[name]
+	if svc == nil {
+		svc = &service{entries: map[string]*Entry{}, moved: map[string]int64{}}
+		s.services[name] = svc
+	}
+	return svc
+}
+
+// note adds a change, and drops outdated ones once they are most of what is kept.
+func (svc *service) note(c change) {
+	svc.changes = append(svc.changes, c)
+	svc.changed = max(svc.changed, c.Seq)
+	if len(svc.changes) > 2*(len(svc.entries)+len(svc.moved))+64 {
+		svc.changes = slices.DeleteFunc(svc.changes, func(c change) bool { return !svc.isCurrent(c) })
+	}
+}
+
+// isCurrent tells whether a change is the last one of its name in this service.
+func (svc *service) isCurrent(c change) bool {
+	if e := svc.entries[c.Name]; e != nil {
+		return e.Version == c.Seq
+	}
+	at, moved := svc.moved[c.Name]
+	return moved && at == c.Seq
+}
+
+// index brings an entry's service up to date after a change of the entry.
+func (s *State) index(e *Entry) {
+	svc := s.service(e.Host.Service)
+	svc.entries[e.Host.Host] = e
+	delete(svc.moved, e.Host.Host)
+	svc.note(change{e.Version, e.Host.Host})
+	s.count(svc, e)
+}
+
+// count keeps the numbers of listed servers.
+func (s *State) count(svc *service, e *Entry) {
+	is := e.isListed()
+	switch {
+	case is && !e.counted:
+		svc.listed++
+		s.listed++
+	case !is && e.counted:
+		svc.listed--
+		s.listed--
+	}
+	e.counted = is
+}
+
+// removeFromService takes an entry out of its service's index.
+func (s *State) removeFromService(e *Entry) {
+	svc := s.service(e.Host.Service)
+	delete(svc.entries, e.Host.Host)
+	if e.counted {
+		svc.listed--
+		s.listed--
+		e.counted = false
+	}
+	s.dropIfEmpty(e.Host.Service)
+}
+
+func (s *State) dropIfEmpty(name string) {
+	if svc := s.services[name]; svc != nil && len(svc.entries)+len(svc.moved) == 0 {
+		delete(s.services, name)
+	}
+}
+
+// noteMove remembers that a server left a service, for that service's readers.
+func (s *State) noteMove(m Departure) {
+	s.Scopes.Moved = append(s.Scopes.Moved, m)
+	svc := s.service(m.Service)
+	svc.moved[m.Name] = m.Seq
+	svc.note(change{m.Seq, m.Name})
+	for len(s.Scopes.Moved) > MaxMoves {
+		oldest := s.Scopes.Moved[0]
+		s.Scopes.Moved = s.Scopes.Moved[1:]
+		s.dropMove(oldest)
+	}
+}
+
+// dropMove forgets a move; the service's readers from before it get the whole list.
+func (s *State) dropMove(m Departure) {
+	svc := s.services[m.Service]
+	if svc == nil || svc.moved[m.Name] != m.Seq {
+		return // the server is back, or has left again since
+	}
+	delete(svc.moved, m.Name)
+	s.raiseFloor(m.Service, m.Seq)
+	s.dropIfEmpty(m.Service)
+}
+
+// raiseFloor notes that a service's changes can be told from a version on only.
+func (s *State) raiseFloor(service string, seq int64) {
+	if s.Scopes.Floors == nil {
+		s.Scopes.Floors = map[string]int64{}
+	}
+	s.Scopes.Floors[service] = max(s.Scopes.Floors[service], seq)
+}
+
+// boundFloors holds the number of services with an oldest version of their own.
+func (s *State) boundFloors() {
+	if len(s.Scopes.Floors) <= MaxServiceFloors {
+		return
+	}
+	for _, seq := range s.Scopes.Floors {
+		s.Scopes.Floor = max(s.Scopes.Floor, seq)
+	}
+	s.Scopes.Floors = nil
+}
+
+// resetScopes begins the services' history at a version.
+func (s *State) resetScopes(seq int64) {
+	s.Scopes = &Scopes{Floor: seq}
+	for name, svc := range s.services {
+		clear(svc.moved)
+		s.dropIfEmpty(name)
+	}
+}
+
+// checkScopes reports the first thing in a snapshot's part on services that can't be.
+func (s *State) checkScopes() error {
+	if len(s.Scopes.Moved) > MaxMoves || len(s.Scopes.Floors) > MaxServiceFloors || s.Scopes.Floor > s.Seq {
+		return fmt.Errorf("scopes: beyond their bounds")
+	}
+	for name, seq := range s.Scopes.Floors {
+		if seq > s.Seq || name != "" && !endpoints.IsWord(name, endpoints.MaxWord) {
+			return fmt.Errorf("scopes: service %q has no such oldest version", name)
+		}
+	}
+	last := int64(-1)
+	for _, m := range s.Scopes.Moved {
+		if m.Seq < last || m.Seq > s.Seq || !endpoints.IsWord(m.Name, endpoints.MaxName) ||
+			m.Service != "" && !endpoints.IsWord(m.Service, endpoints.MaxWord) {
+			return fmt.Errorf("scopes: the moves are out of order at version %d", m.Seq)
+		}
+		last = m.Seq
+	}
+	return nil
+}
+
+// rebuildIndex derives from a state that was read what is not encoded with it.
+func (s *State) rebuildIndex() {
+	s.services, s.listed, s.held = map[string]*service{}, 0, 0
+	for name, e := range s.Entries {
+		svc := s.service(e.Host.Service)
+		svc.entries[name] = e
+		svc.changes = append(svc.changes, change{e.Version, name})
+		s.count(svc, e)
+		if e.Held {
+			s.held++
+		}
+	}
+	for _, m := range s.Scopes.Moved {
+		svc := s.service(m.Service)
+		if svc.entries[m.Name] == nil {
+			svc.moved[m.Name] = m.Seq
+			svc.changes = append(svc.changes, change{m.Seq, m.Name})
+		}
+	}
+	for name, svc := range s.services {
+		sort.Slice(svc.changes, func(i, j int) bool {
+			a, b := svc.changes[i], svc.changes[j]
+			return a.Seq < b.Seq || a.Seq == b.Seq && a.Name < b.Name
+		})
+		if last := len(svc.changes) - 1; last >= 0 {
+			svc.changed = svc.changes[last].Seq
+		}
+		s.dropIfEmpty(name)
+	}
+}
+
+// ListServices is what readers of services get: the whole list of these services, or what
+// changed in them after a version. It costs by the services' entries and not by the fleet's.
+func (s *State) ListServices(services []string, since int64, whole bool) endpoints.List {
+	l := endpoints.List{Seq: s.Seq, Hosts: []endpoints.Host{}}
+	if !whole && s.TellsSince(services, since) {
+		listed := 0
+		for _, name := range services {
+			l.Hosts = append(l.Hosts, s.ServiceChanges(name, since)...)
+			listed += s.ServiceSize(name)
+		}
+		if len(l.Hosts) <= listed+MaxServiceChanges {
+			return l
+		}
+		l.Hosts = l.Hosts[:0]
+	}
+	l.Whole = true
+	for _, name := range services {
+		l.Hosts = append(l.Hosts, s.ServiceHosts(name)...)
+	}
+	return l
+}
+
+// TellsSince tells whether the changes of these services after a version are all known.
+func (s *State) TellsSince(services []string, since int64) bool {
+	if since > s.Seq || since < s.Scopes.Floor {
+		return false
+	}
+	for _, name := range services {
+		if since < s.Scopes.Floors[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// ServiceHosts is the listed servers of a service, by name.
+func (s *State) ServiceHosts(name string) []endpoints.Host {
+	svc := s.services[name]
+	if svc == nil {
+		return nil
+	}
+	hosts := make([]endpoints.Host, 0, svc.listed)
+	for _, e := range svc.entries {
+		if e.isListed() {
+			hosts = append(hosts, e.Scoped())
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Host < hosts[j].Host })
+	return hosts
+}
+
+// ServiceChanges is the servers of a service that changed after a version, each once; those
+// that ended or went to another service are gone.
+func (s *State) ServiceChanges(name string, since int64) (hosts []endpoints.Host) {
+	svc := s.services[name]
+	if svc == nil {
+		return nil
+	}
+	from := sort.Search(len(svc.changes), func(i int) bool { return svc.changes[i].Seq > since })
+	for _, c := range svc.changes[from:] {
+		if !svc.isCurrent(c) {
+			continue
+		}
+		if e := svc.entries[c.Name]; e != nil {
+			hosts = append(hosts, e.Scoped())
+		} else {
+			hosts = append(hosts, endpoints.Host{Host: c.Name, Health: endpoints.Gone, Service: name})
+		}
+	}
+	return hosts
+}
+
+// ServiceSize is how many servers of a service are listed.
+func (s *State) ServiceSize(name string) int {
+	if svc := s.services[name]; svc != nil {
+		return svc.listed
+	}
+	return 0
+}
+
+// ServiceVersion is the version of a service's last change; 0: it has no entries.
+func (s *State) ServiceVersion(name string) int64 {
+	if svc := s.services[name]; svc != nil {
+		return svc.changed
+	}
+	return 0
+}
+
+// ServiceSizes is the number of listed servers of each service.
+func (s *State) ServiceSizes() map[string]int {
+	sizes := make(map[string]int, len(s.services))
+	for name, svc := range s.services {
+		sizes[name] = svc.listed
+	}
+	return sizes
+}
+
+// ListedCount is how many servers are listed.
+func (s *State) ListedCount() int { return s.listed }
+
+// ChangedServices is the services that changed after a version, in order; not ok where that
+// is not known, so that any may have. It costs by the changes.
+func (s *State) ChangedServices(since int64) (names []string, ok bool) {
+	if since > s.Seq || since < s.oldest() || since < s.Scopes.Floor {
+		return nil, false
+	}
+	changed := map[string]bool{}
+	from := sort.Search(len(s.History), func(i int) bool { return s.History[i].Seq > since })
+	for _, c := range s.History[from:] {
+		changed[s.Entries[c.Name].Host.Service] = true
+	}
+	moves := s.Scopes.Moved
+	from = sort.Search(len(moves), func(i int) bool { return moves[i].Seq > since })
+	for _, m := range moves[from:] {
+		changed[m.Service] = true
+	}
+	for name := range changed {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names, true
+}
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -483,7 +483,7 @@
 		n.fsm.read(func(s *catalog.State) { d = n.leases.Decide(s, now, n.judge()) })
 	}
 	n.lead.Unlock()
-	for _, c := range []catalog.Command{{Kind: catalog.Lapse, Refs: d.Lapse}, {Kind: catalog.Hold, Refs: d.Hold},
+	for _, c := range []catalog.Command{{Kind: catalog.Lapse, Refs: d.Lapse}, {Kind: catalog.Hold, Refs: d.Hold}, {Kind: catalog.Hold, Why: catalog.HoldService, Refs: d.HoldService},
 		{Kind: catalog.Seen, Refs: d.Seen}, {Kind: catalog.Admit, Refs: d.Admit}} {
 		if len(c.Refs) == 0 {
 			continue
