Send watches of services only what changes in them, by a topic each

GET /v1/endpoints takes service, up to 256 times, and answers with Service-Scope. Each service that somebody subscribes to is a topic: a change is encoded once for all its subscriptions, which are notified by one buffered channel however many of their topics changed; a line is an envelope round the encoded entries. Whole lists are cached by service and version (32 MB at most). A lagging watch gets the whole list of its own services. Without the parameter all is as before. Admission counts the bytes of the list that a call writes, where it counted the whole fleet's entries. max_watches is 20,000 by default, as far as there are descriptors.

--- a/internal/control/admission.go
+++ b/internal/control/admission.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -15,25 +16,42 @@
 // with a time to come back that spreads the callers over as long as they need: each that
 // is sent away is given the next place at the rate that is admitted.
 type admission struct {
-	c       *Config
-	calls   *rate.Limiter
-	writes  chan struct{}
-	refused atomic.Int64
+	c *Config
+	// maxWatches is how many watches may be open: what is configured, if there are descriptors for them.
+	maxWatches int
+	calls      *rate.Limiter
+	writes     chan struct{}
+	refused    atomic.Int64
 
 	mu   sync.Mutex
 	next time.Time // the place behind all that were given
 }
 
 func newAdmission(c *Config) *admission {
-	return &admission{c: c, calls: rate.NewLimiter(rate.Limit(c.CallRate), max(int(c.CallRate/4), 1)), writes: make(chan struct{}, c.MaxWrites)}
+	return &admission{c: c, maxWatches: watchLimit(c.MaxWatches), calls: rate.NewLimiter(rate.Limit(c.CallRate), max(int(c.CallRate/4), 1)), writes: make(chan struct{}, c.MaxWrites)}
 }
 
-// perEntries is how many entries of a whole list cost as much as a call.
-const perEntries = 200
+// reservedDescriptors are left to the log, the other stewards and calls that are no watches.
+const reservedDescriptors = 1024
 
-// call admits a call that writes so many entries, or answers it.
-func (a *admission) call(w http.ResponseWriter, entries int) bool {
-	cost := min(1+entries/perEntries, a.calls.Burst())
+// watchLimit is how many watches of those that are configured there are descriptors for.
+func watchLimit(configured int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return configured
+	}
+	if limit.Cur >= uint64(configured)+reservedDescriptors {
+		return configured
+	}
+	return max(int(limit.Cur)-reservedDescriptors, int(limit.Cur)/2)
+}
+
+// bytesPerCall is how many bytes of a list cost as much as a call.
+const bytesPerCall = 24_000
+
+// call admits a call that writes about so many bytes of a list, or answers it.
+func (a *admission) call(w http.ResponseWriter, bytes int) bool {
+	cost := min(1+bytes/bytesPerCall, a.calls.Burst())
 	if a.calls.AllowN(time.Now(), cost) {
 		return true
 	}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -103,24 +103,24 @@
 // serveList is discovery's form: the whole list, or a watch.
 func (n *Node) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	services, err := parseServices(r.URL.RawQuery)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	follow := q.Get("follow") == "1"
 	var since int64
 	if follow {
-		var err error
 		if since, err = strconv.ParseInt(q.Get("since"), 10, 64); err != nil || since < 0 {
 			http.Error(w, "since: no version", http.StatusBadRequest)
 			return
 		}
 	}
 	if q.Get("consistent") == "1" && !follow {
-		n.leaderReads(func(w http.ResponseWriter, _ *http.Request) { n.writeWhole(w) })(w, r)
+		n.leaderReads(func(w http.ResponseWriter, _ *http.Request) { n.writeWhole(w, services) })(w, r)
 		return
 	}
-	entries := 0
-	if !follow {
-		n.fsm.read(func(s *catalog.State) { entries = len(s.Entries) })
-	}
-	if !n.calls.call(w, entries) {
+	if !n.calls.call(w, n.listBytes(services, follow, since)) {
 		n.m.calls.WithLabelValues("list", "away").Inc()
 		return
 	}
@@ -137,7 +137,7 @@
 	}
 	if !follow {
 		n.m.calls.WithLabelValues("list", "whole").Inc()
-		n.writeWhole(w)
+		n.writeWhole(w, services)
 		return
 	}
 	if !n.behind(r.Context(), since) {
@@ -146,7 +146,7 @@
 		http.Error(w, "this steward lags behind what the reader knows", http.StatusServiceUnavailable)
 		return
 	}
-	end, ok := n.hub.enter(n.c.MaxWatches, movable)
+	end, ok := n.hub.enter(n.calls.maxWatches, movable)
 	if !ok {
 		n.calls.refuse(w, latest)
 		return
@@ -158,12 +158,35 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(n.ctx, cancel)()
-	n.hub.watch(ctx, w, since, end)
+	if services == nil {
+		n.hub.watch(ctx, w, since, end)
+		return
+	}
+	setScope(w, services)
+	n.hub.watchServices(ctx, w, services, since, end)
 }
 
-func (n *Node) writeWhole(w http.ResponseWriter) {
+// writeWhole writes the whole list, of some services where any are named.
+func (n *Node) writeWhole(w http.ResponseWriter, services []string) {
 	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(n.hub.wholeList())
+	if services == nil {
+		_, _ = w.Write(n.hub.wholeList())
+		return
+	}
+	setScope(w, services)
+	text, _ := n.hub.topics.list(services, 0, true)
+	_, _ = w.Write(text)
+}
+
+// listBytes is about how many bytes of a list a call is going to write at once.
+func (n *Node) listBytes(services []string, follow bool, since int64) int {
+	switch {
+	case services != nil:
+		return n.hub.topics.listBytes(services, since, !follow)
+	case follow:
+		return 0
+	}
+	return n.hub.wholeListBytes()
 }
 
 // behind deals with a reader whose version this steward has not reached. It may lag, and
@@ -306,7 +329,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	for _, key := range []string{"Content-Type", "Retry-After", "Not-Applied"} {
+	for _, key := range []string{"Content-Type", "Retry-After", "Not-Applied", scopeHeader} {
 		if v := resp.Header.Get(key); v != "" {
 			w.Header().Set(key, v)
 		}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -51,8 +51,8 @@
 	StaleAfter time.Duration `koanf:"stale_after"` // without the quorum, watches are sent elsewhere
 	Coalesce   time.Duration `koanf:"coalesce"`    // changes within it are one line of a watch
 	Drain      time.Duration `koanf:"drain"`       // before it ends, its watches are sent elsewhere within it
-	MaxWatches int           `koanf:"max_watches"`
-	CallRate   float64       `koanf:"call_rate"` // whole lists and new watches a second; a whole list counts as one for each 200 entries
+	MaxWatches int           `koanf:"max_watches"` // fewer where the process may not open as many descriptors
+	CallRate   float64       `koanf:"call_rate"`   // whole lists and new watches a second; a whole list counts as one for each 24,000 bytes
 	MaxWrites  int           `koanf:"max_writes"`
 
 	SnapshotEvery uint64        `koanf:"snapshot_every"` // log entries
@@ -70,9 +70,12 @@
 	return Config{Name: "steward", Listen: "127.0.0.1:8500", Raft: "127.0.0.1:8501",
 		LeaseTTL: 6 * time.Second, GuardShare: 0.4, GuardWindow: 10 * time.Second,
 		Heartbeat: 500 * time.Millisecond, StaleAfter: 5 * time.Second, Coalesce: 5 * time.Millisecond, Drain: 2 * time.Second, Evidence: true, ReplaceAfter: 30 * time.Second, Now: time.Now, Log: func(s raft.LogStore) raft.LogStore { return s },
-		MaxWatches: 5000, CallRate: 2000, MaxWrites: 1024, SnapshotEvery: 8192, SnapshotCheck: 20 * time.Second, LogLevel: "info"}
+		MaxWatches: 20_000, CallRate: 2000, MaxWrites: 1024, SnapshotEvery: 8192, SnapshotCheck: 20 * time.Second, LogLevel: "info"}
 }
 
+// mostWatches bounds what max_watches may be: beyond it there are no descriptors anywhere.
+const mostWatches = 1_000_000
+
 // EnvPrefix begins the names of the environment's variables: STEWARD_LEASE_TTL is lease_ttl.
 const EnvPrefix = "STEWARD_"
 
@@ -137,7 +140,7 @@
 		{"stale_after", c.StaleAfter <= 0, fmt.Sprintf("must be above 0, is %v", c.StaleAfter)},
 		{"coalesce", c.Coalesce < 0, fmt.Sprintf("must be 0 or above, is %v", c.Coalesce)},
 		{"drain", c.Drain < 0 || c.Drain > time.Minute, fmt.Sprintf("must be 0 to 1m, is %v", c.Drain)},
-		{"max_watches", c.MaxWatches < 1, fmt.Sprintf("must be 1 or above, is %d", c.MaxWatches)},
+		{"max_watches", c.MaxWatches < 1 || c.MaxWatches > mostWatches, fmt.Sprintf("must be 1 to %d, is %d", mostWatches, c.MaxWatches)},
 		{"call_rate", !(c.CallRate > 0), fmt.Sprintf("must be above 0, is %v", c.CallRate)},
 		{"max_writes", c.MaxWrites < 1, fmt.Sprintf("must be 1 or above, is %d", c.MaxWrites)},
 		{"snapshot_every", c.SnapshotEvery < 1, "must be 1 or above"},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -224,7 +224,7 @@
 		time.Sleep(3 * time.Second)
 		again := 0
 		for range 1000 {
-			if a.call(httptest.NewRecorder(), 10*perEntries) {
+			if a.call(httptest.NewRecorder(), 10*bytesPerCall) {
 				again++
 			}
 		}
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -54,6 +54,31 @@
 	fanOut("lines_encoded_total", "Lists and changes that were encoded.", func(h *hub) int64 { return h.encoded })
 	fanOut("lines_sent_total", "Changes that were written to watches.", func(h *hub) int64 { return h.sent })
 	fanOut("watches_lagged_total", "Times that a watch was too far behind and got the whole list.", func(h *hub) int64 { return h.lagged })
+	scoped := func(name, help string, of func(t *topics) int64) {
+		f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_scoped_" + name, Help: help}, func() float64 {
+			n.hub.topics.mu.Lock()
+			defer n.hub.topics.mu.Unlock()
+			return float64(of(n.hub.topics))
+		})
+	}
+	scoped("events_encoded_total", "Changes of a service that were encoded.", func(t *topics) int64 { return t.encoded })
+	scoped("lines_sent_total", "Lists and changes that were written to watches of services.", func(t *topics) int64 { return t.sent })
+	scoped("bytes_sent_total", "Bytes of the lists and changes that were written to watches of services.", func(t *topics) int64 { return t.sentBytes })
+	scoped("watches_lagged_total", "Times that a watch of services was too far behind and got the whole list of them.", func(t *topics) int64 { return t.lagged })
+	f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_scoped_lists_encoded_total", Help: "Whole lists of a service that were encoded."}, func() float64 {
+		c := n.hub.topics.cache
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return float64(c.encoded)
+	})
+	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_scoped_watches", Help: "Watches of services that are open."}, func() float64 {
+		n.hub.topics.mu.Lock()
+		defer n.hub.topics.mu.Unlock()
+		return float64(n.hub.topics.watches)
+	})
+	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_watches_limit", Help: "Watches that may be open: what is configured, if there are descriptors for them."},
+		func() float64 { return float64(n.calls.maxWatches) })
+	r.MustRegister(newServiceCollector(n.hub))
 	f.NewCounterFunc(prometheus.CounterOpts{Name: "steward_calls_refused_total", Help: "Calls sent away because there were too many."},
 		func() float64 { return float64(n.calls.refused.Load()) })
 	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "steward_duties_held_here", Help: "Duties whose functions run here."}, func() float64 {
--- /dev/null
+++ b/internal/control/servicemetrics.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"molepaddle/internal/catalog"
+)
+
+const (
+	// largestServices is how many services have a label of their own; all others share one.
+	largestServices = 20
+	// The labels that are no service's name have a space, which no name has.
+	defaultServiceLabel = "default service"
+	otherServicesLabel  = "other services"
+)
+
+// serviceCollector gives the numbers of the largest services when it is asked.
+type serviceCollector struct {
+	hub             *hub
+	listed, watches *prometheus.Desc
+	services        *prometheus.Desc
+}
+
+func newServiceCollector(h *hub) *serviceCollector {
+	labels := []string{"service"}
+	return &serviceCollector{hub: h,
+		listed:   prometheus.NewDesc("steward_service_listed", "Servers that are listed, by service: the largest, and all others.", labels, nil),
+		watches:  prometheus.NewDesc("steward_service_watches", "Watches that are open and subscribe to a service: the largest, and all others.", labels, nil),
+		services: prometheus.NewDesc("steward_services", "Services that have servers.", nil, nil)}
+}
+
+// Describe is the registry's.
+func (c *serviceCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- c.listed
+	ch <- c.watches
+	ch <- c.services
+}
+
+// Collect is the registry's.
+func (c *serviceCollector) Collect(ch chan<- prometheus.Metric) {
+	var sizes map[string]int
+	c.hub.fsm.read(func(s *catalog.State) { sizes = s.ServiceSizes() })
+	ch <- prometheus.MustNewConstMetric(c.services, prometheus.GaugeValue, float64(len(sizes)))
+	own := largest(sizes, largestServices)
+	for label, count := range byLabel(sizes, own) {
+		ch <- prometheus.MustNewConstMetric(c.listed, prometheus.GaugeValue, float64(count), label)
+	}
+	for label, count := range byLabel(c.hub.topics.watchesByService(), own) {
+		ch <- prometheus.MustNewConstMetric(c.watches, prometheus.GaugeValue, float64(count), label)
+	}
+}
+
+// largest names the services with the most servers; of equals, the first by name.
+func largest(sizes map[string]int, most int) []string {
+	names := make([]string, 0, len(sizes))
+	for name := range sizes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if sizes[a] != sizes[b] {
+			return sizes[b] - sizes[a]
+		}
+		return strings.Compare(a, b)
+	})
+	return names[:min(len(names), most)]
+}
+
+// byLabel adds up the numbers of services that share a label.
+func byLabel(numbers map[string]int, own []string) map[string]int {
+	sums := map[string]int{}
+	for name, n := range numbers {
+		switch {
+		case !slices.Contains(own, name):
+			sums[otherServicesLabel] += n
+		case name == "":
+			sums[defaultServiceLabel] += n
+		default:
+			sums[name] += n
+		}
+	}
+	return sums
+}
