--- /dev/null
+++ b/cmd/steward/scope_test.go
@@ -0,0 +1,618 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"molepaddle/internal/catalog"
+	"molepaddle/internal/control"
+	"molepaddle/internal/endpoints"
+)
+
+// scopeQuery is the part of a call that names services.
+func scopeQuery(services []string) string { return url.Values{"service": services}.Encode() }
+
+// scopedWatch reads the wire of a watch of services, from steward to steward, and applies
+// its lines in the contract's way.
+type scopedWatch struct {
+	services []string
+	stop     context.CancelFunc
+	done     chan struct{}
+
+	mu     sync.Mutex
+	seq    int64
+	have   map[string]endpoints.Host
+	lists  []endpoints.List
+	bytes  int // of the lists
+	faults []string
+}
+
+// subscribe starts a watch that begins at the first steward named.
+func (f *fleet) subscribe(services []string, at ...string) *scopedWatch {
+	return f.subscribeFrom(0, services, at...)
+}
+
+// subscribeFrom starts a watch whose reader has a version already.
+func (f *fleet) subscribeFrom(since int64, services []string, at ...string) *scopedWatch {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &scopedWatch{services: services, stop: cancel, done: make(chan struct{}), seq: since, have: map[string]endpoints.Host{}}
+	var addrs []string
+	for _, name := range at {
+		addrs = append(addrs, f.all[name].http)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	go func() {
+		defer close(w.done)
+		for i := 0; ctx.Err() == nil; i++ {
+			w.follow(ctx, client, addrs[i%len(addrs)])
+			select {
+			case <-time.After(10 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	f.t.Cleanup(func() {
+		cancel()
+		<-w.done
+	})
+	return w
+}
+
+func (w *scopedWatch) follow(ctx context.Context, client *http.Client, addr string) {
+	w.mu.Lock()
+	since := w.seq
+	w.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?follow=1&since=%d&%s", addr, endpoints.Path, since, scopeQuery(w.services)), nil)
+	if err != nil {
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return
+	}
+	if got := resp.Header.Get("Service-Scope"); got != strconv.Itoa(len(w.services)) {
+		w.fault("Service-Scope: %q", got)
+	}
+	for lines := bufio.NewReaderSize(resp.Body, 1<<16); ; {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		if len(line) > 1 {
+			w.take(line)
+		}
+	}
+}
+
+func (w *scopedWatch) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *scopedWatch) take(line []byte) {
+	l, err := endpoints.Parse(line)
+	if err != nil {
+		w.fault("%.200q: %v", line, err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l.Seq < w.seq {
+		w.faults = append(w.faults, fmt.Sprintf("version %d after %d", l.Seq, w.seq))
+	}
+	w.seq, w.bytes, w.lists = l.Seq, w.bytes+len(line), append(w.lists, l)
+	if l.Whole {
+		clear(w.have)
+	}
+	for _, h := range l.Hosts {
+		switch {
+		case !slices.Contains(w.services, h.Service):
+			w.faults = append(w.faults, fmt.Sprintf("was sent %+v", h))
+		case h.Health != endpoints.Gone:
+			w.have[h.Host] = h
+		case w.have[h.Host].Service == h.Service:
+			delete(w.have, h.Host)
+		}
+	}
+}
+
+// names is what the watch has, as name@service, in order.
+func (w *scopedWatch) names() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]string, 0, len(w.have))
+	for _, h := range w.have {
+		out = append(out, h.Host+"@"+h.Service)
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+// sent is how many lists and bytes the watch was sent, and its version.
+func (w *scopedWatch) sent() (lists, bytes int, seq int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.lists), w.bytes, w.seq
+}
+
+// end stops the watch; it was sent its services only, and no version went back.
+func (w *scopedWatch) end(t *testing.T) {
+	t.Helper()
+	w.stop()
+	<-w.done
+	if len(w.faults) > 0 {
+		t.Errorf("a watch of %q: %s", w.services, strings.Join(w.faults, "; "))
+	}
+}
+
+func entryOf(service, name string, born float64) endpoints.Host {
+	h := entry(name, born)
+	h.Service = service
+	return h
+}
+
+// registerIn writes until it is acknowledged, at whichever steward takes it.
+func (f *fleet) registerIn(service, name string, born float64, at ...string) catalog.Result {
+	f.t.Helper()
+	if len(at) == 0 {
+		at = f.names
+	}
+	var r catalog.Result
+	f.until(name+" is taken", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		var err error
+		r, err = f.client(at...).Register(ctx, entryOf(service, name, born))
+		return err == nil
+	})
+	return r
+}
+
+// get makes one call and reads its answer.
+func (f *fleet) get(at, path string) (status int, header http.Header, text []byte) {
+	f.t.Helper()
+	resp, err := http.Get("http://" + f.all[at].http + path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, err = io.ReadAll(resp.Body); err != nil {
+		f.t.Fatal(err)
+	}
+	return resp.StatusCode, resp.Header, text
+}
+
+// wholeOf is the whole list of some services at a steward.
+func (f *fleet) wholeOf(at, query string) endpoints.List {
+	f.t.Helper()
+	var l endpoints.List
+	f.until("a list at "+at, func() bool {
+		status, header, text := f.get(at, endpoints.Path+"?"+query)
+		if status != http.StatusOK {
+			return false
+		}
+		if header.Get("Service-Scope") == "" {
+			f.t.Fatalf("%s: no Service-Scope", query)
+		}
+		var err error
+		if l, err = endpoints.Parse(text); err != nil || !l.Whole {
+			f.t.Fatalf("%s: %.200s: %v", query, text, err)
+		}
+		return true
+	})
+	return l
+}
+
+// A call names services, is told how many were understood and gets their entries only; one
+// that names none gets the list as it was before there were services.
+func TestScopeWire(t *testing.T) {
+	f := newFleet(t, 3)
+	f.registerIn("billing", "only", 1)
+	f.registerIn("search", "s-1", 1)
+	last := f.registerIn("search", "s-2", 1)
+	f.register("plain", 1)
+	follower := f.others(f.leader())[0]
+	f.until("the follower has all", func() bool {
+		st, err := f.status(follower)
+		return err == nil && st.Seq > last.Seq
+	})
+	for query, want := range map[string]string{
+		"service=billing":                                "1: only billing",
+		"service=billing&service=billing":                "1: only billing",
+		"service=search&service=billing":                 "2: only billing, s-1 search, s-2 search",
+		"service=":                                       "1: plain ",
+		"service=none":                                   "1: ",
+		"service=none&service=":                          "2: plain ",
+		"service=search&consistent=1":                    "1: s-1 search, s-2 search",
+		scopeQuery([]string{"billing"}) + "&ignored=yes": "1: only billing",
+	} {
+		status, header, text := f.get(follower, endpoints.Path+"?"+query)
+		l, err := endpoints.Parse(text)
+		var got []string
+		for _, h := range l.Hosts {
+			got = append(got, h.Host+" "+h.Service)
+		}
+		slices.Sort(got)
+		if said := header.Get("Service-Scope") + ": " + strings.Join(got, ", "); status != http.StatusOK || err != nil || !l.Whole || said != want || l.Seq <= last.Seq {
+			t.Errorf("%s: %d %q at version %d, want %q (%v)", query, status, said, l.Seq, want, err)
+		}
+	}
+	status, header, text := f.get(follower, endpoints.Path)
+	if status != http.StatusOK || header.Get("Service-Scope") != "" || bytes.Contains(text, []byte("service")) || bytes.Count(text, []byte(`"host"`)) != 4 {
+		t.Errorf("without services: %d %q %s", status, header.Get("Service-Scope"), text)
+	}
+	many := make([]string, 257)
+	for i := range many {
+		many[i] = fmt.Sprint("s-", i)
+	}
+	for _, query := range []string{"service=a%20b", "service=a/b", "service=" + strings.Repeat("x", 65), "service=a&service=%0a", "service=%zz", scopeQuery(many)} {
+		for _, how := range []string{"", "follow=1&since=0&", "consistent=1&"} {
+			status, _, text := f.get(follower, endpoints.Path+"?"+how+query)
+			if status != http.StatusBadRequest || !bytes.HasPrefix(text, []byte("service: ")) || bytes.Count(text, []byte("\n")) != 1 {
+				t.Errorf("%s%.80s: %d %q", how, query, status, text)
+			}
+		}
+	}
+	many[0] = "search"
+	if l := f.wholeOf(follower, scopeQuery(many[:256])); len(l.Hosts) != 2 {
+		t.Errorf("256 services: %+v", l.Hosts)
+	}
+}
+
+// A service of one server, whose server ends, is replaced and changes: each is one line of
+// one entry, and watches of other services get none.
+func TestScopeOfOne(t *testing.T) {
+	f := newFleet(t, 1)
+	f.registerIn("one", "s", 1)
+	f.registerIn("other", "o", 1)
+	one, other := f.subscribe([]string{"one"}, f.names...), f.subscribe([]string{"other"}, f.names...)
+	f.until("both begin", func() bool { return one.names() == "s@one" && other.names() == "o@other" })
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	client := f.client(f.names...)
+	share := 0.5
+	steps := []struct {
+		what string
+		do   func() error
+		have string
+	}{
+		{"its share is set", func() error { _, err := client.Set(ctx, "s", control.Word{Share: &share}); return err }, "s@one"},
+		{"it is replaced", func() error { _, err := client.Register(ctx, entryOf("one", "s", 2)); return err }, "s@one"},
+		{"it ends", func() error { return f.leave("s", 2) }, ""},
+		{"another comes", func() error { _, err := client.Register(ctx, entryOf("one", "next", 1)); return err }, "next@one"},
+	}
+	_, otherBytes, _ := other.sent()
+	for _, step := range steps {
+		before, _, _ := one.sent()
+		if err := step.do(); err != nil {
+			t.Fatalf("%s: %v", step.what, err)
+		}
+		f.until(step.what, func() bool { n, _, _ := one.sent(); return n == before+1 })
+		one.mu.Lock()
+		last := one.lists[len(one.lists)-1]
+		one.mu.Unlock()
+		if last.Whole || len(last.Hosts) != 1 || one.names() != step.have {
+			t.Errorf("%s: %+v, and the watch has %q", step.what, last, one.names())
+		}
+	}
+	if n, bytes, _ := other.sent(); n != 1 || bytes != otherBytes {
+		t.Errorf("the other watch was sent %d lists and %d bytes more", n, bytes-otherBytes)
+	}
+	one.end(t)
+	other.end(t)
+}
+
+// leave takes a server off the list.
+func (f *fleet) leave(name string, born float64) error {
+	req, err := http.NewRequest(http.MethodDelete, fmt.Sprintf("http://%s/v1/servers/%s?born_ms=%.0f", f.all[f.leader()].http, name, born), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("leave %s: %s", name, resp.Status)
+	}
+	return nil
+}
+
+// restoreFleet puts a state with these services and their numbers of servers in place.
+func (f *fleet) restoreFleet(sizes map[string]int) {
+	f.t.Helper()
+	s := catalog.New()
+	for service, size := range sizes {
+		for i := range size {
+			h := entryOf(service, fmt.Sprintf("%s-%d", service, i), 1)
+			if r := s.Apply(&catalog.Command{Form: catalog.Form, Kind: catalog.Register, Host: &h}); r.Code != catalog.Done {
+				f.t.Fatalf("%+v", r)
+			}
+		}
+	}
+	text, err := s.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	if _, err := f.client(f.leader()).Restore(ctx, text); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Two watches with different services, one of 5,000 servers and one of 20, get only theirs:
+// the lines and bytes of each follow its own services.
+func TestScopeTwoWatches(t *testing.T) {
+	f := newFleet(t, 1)
+	const large, small, changes = 5000, 20, 40
+	f.restoreFleet(map[string]int{"large": large, "small": small, "": 10})
+	if l := f.wholeOf(f.names[0], "service=large"); len(l.Hosts) != large {
+		t.Fatalf("%d servers of the large service", len(l.Hosts))
+	}
+	big, little := f.subscribe([]string{"large"}, f.names...), f.subscribe([]string{"small"}, f.names...)
+	count := func(w *scopedWatch) int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.have)
+	}
+	f.until("both have their lists", func() bool { return count(big) == large && count(little) == small })
+	_, bigFirst, _ := big.sent()
+	_, littleFirst, _ := little.sent()
+	if littleFirst > 200*small || bigFirst < 100*large {
+		t.Errorf("the first lists were of %d and %d bytes", bigFirst, littleFirst)
+	}
+	var seq int64
+	for i := range changes {
+		seq = f.registerIn("large", fmt.Sprint("large-", i), 2).Seq
+	}
+	f.until("the changes came", func() bool { _, _, at := big.sent(); return at >= seq })
+	lists, bytes, _ := big.sent()
+	if lists > 1+changes || bytes-bigFirst > 250*changes {
+		t.Errorf("%d changes were %d lists and %d bytes", changes, lists-1, bytes-bigFirst)
+	}
+	if lists, bytes, _ := little.sent(); lists != 1 || bytes != littleFirst {
+		t.Errorf("the watch of the small service was sent %d lists and %d bytes more", lists-1, bytes-littleFirst)
+	}
+	// A watch that nothing concerned goes on from where it was, however far the version is.
+	_, _, at := little.sent()
+	again := f.subscribeFrom(at, []string{"small"}, f.names...)
+	f.until("it goes on", func() bool { n, _, _ := again.sent(); return n > 0 })
+	again.mu.Lock()
+	first := again.lists[0]
+	again.mu.Unlock()
+	if first.Whole || len(first.Hosts) != 0 || first.Seq < seq {
+		t.Errorf("it was sent %+v", first)
+	}
+	big.end(t)
+	little.end(t)
+	again.end(t)
+}
+
+// A server changes its service under one name: readers of the old service are told that it
+// is gone, those of the new one get it, those of both end with the new one.
+func TestScopeServerMoves(t *testing.T) {
+	f := newFleet(t, 3)
+	f.registerIn("old", "s", 1)
+	f.registerIn("old", "stays", 1)
+	watches := map[string]*scopedWatch{"old": f.subscribe([]string{"old"}, f.names...), "new": f.subscribe([]string{"new"}, f.names...),
+		"both": f.subscribe([]string{"new", "old"}, f.names...)}
+	has := func(old, new, both string) func() bool {
+		return func() bool {
+			return watches["old"].names() == old && watches["new"].names() == new && watches["both"].names() == both
+		}
+	}
+	f.until("all begin", has("s@old stays@old", "", "s@old stays@old"))
+	f.registerIn("new", "s", 1)
+	f.until("it has moved", has("stays@old", "s@new", "s@new stays@old"))
+	late := f.subscribe([]string{"old"}, f.names...)
+	f.until("a later one has it", func() bool { return late.names() == "stays@old" })
+	f.registerIn("old", "s", 2)
+	f.until("it has come back as a new process", has("s@old stays@old", "", "s@old stays@old"))
+	for i := range 20 { // to and fro, faster than lines are written
+		f.registerIn([]string{"new", "old"}[i%2], "s", float64(3+i/16))
+	}
+	f.registerIn("new", "s", 3+20/16) // three ends, which is too few to be damped
+	f.until("it has moved for good", has("stays@old", "s@new", "s@new stays@old"))
+	for _, w := range watches {
+		w.end(t)
+	}
+	late.end(t)
+}
+
+// The leader is killed while subscriptions begin and servers register: each watch ends with
+// exactly what its services have, no version goes back and none is left out.
+func TestScopeLeaderKilled(t *testing.T) {
+	f := newFleet(t, 3)
+	const services, watches, seed = 6, 40, 5
+	rng := seeded(t, seed)
+	t.Logf("seed %d", seed)
+	for i := range 30 {
+		f.registerIn(fmt.Sprint("service-", i%services), fmt.Sprint("s-", i), 1)
+	}
+	old := f.leader()
+	var all []*scopedWatch
+	for i := range watches {
+		if i == watches/2 {
+			f.kill(old)
+		}
+		scope := []string{fmt.Sprint("service-", rng.IntN(services)), fmt.Sprint("service-", rng.IntN(services))}
+		slices.Sort(scope)
+		at := slices.Clone(f.names)
+		rng.Shuffle(len(at), func(i, j int) { at[i], at[j] = at[j], at[i] })
+		all = append(all, f.subscribe(slices.Compact(scope), at...))
+	}
+	left := f.others(old)
+	for i := range 12 {
+		f.registerIn(fmt.Sprint("service-", (i+1)%services), fmt.Sprint("s-", i), 2, left...) // to another service
+	}
+	want := func(w *scopedWatch) string {
+		var out []string
+		for i := range 30 {
+			service := fmt.Sprint("service-", i%services)
+			if i < 12 {
+				service = fmt.Sprint("service-", (i+1)%services)
+			}
+			if slices.Contains(w.services, service) {
+				out = append(out, fmt.Sprintf("s-%d@%s", i, service))
+			}
+		}
+		slices.Sort(out)
+		return strings.Join(out, " ")
+	}
+	for i, w := range all {
+		f.until(fmt.Sprintf("watch %d of %q has all: %q, want %q", i, w.services, w.names(), want(w)), func() bool { return w.names() == want(w) })
+	}
+	f.start(old)
+	f.until("it has caught up", func() bool {
+		e, err := f.all[old].client.Server(context.Background(), "s-11", false)
+		return err == nil && e.Host.BornMs == 2
+	})
+	l := f.wholeOf(old, "service=service-0")
+	if len(l.Hosts) == 0 {
+		t.Error("the one that came back has no servers of a service")
+	}
+	for _, w := range all {
+		w.end(t)
+	}
+}
+
+// A snapshot from before there were services is restored while watches of services stand:
+// its servers are of the default service, and watches get whole lists under later versions.
+func TestScopeSnapshotFromBefore(t *testing.T) {
+	f := newFleet(t, 3)
+	f.registerIn("a", "s", 1)
+	f.registerIn("a", "only", 1)
+	a, none := f.subscribe([]string{"a"}, f.names...), f.subscribe([]string{""}, f.names...)
+	f.until("they begin", func() bool {
+		n, _, _ := none.sent()
+		return a.names() == "only@a s@a" && n > 0
+	})
+	_, _, before := a.sent()
+	host := entry("s", 1)
+	text, err := json.Marshal(map[string]any{"form": 1, "seq": before + 1000, "clock": 1, "entries": map[string]any{"s": map[string]any{"host": host, "version": before + 1000}},
+		"history": []any{map[string]any{"seq": before + 1000, "name": "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), soon)
+	defer cancel()
+	if _, err := f.client(f.leader()).Restore(ctx, text); err != nil {
+		t.Fatal(err)
+	}
+	f.until("they have what was restored", func() bool { return a.names() == "" && none.names() == "s@" })
+	f.registerIn("a", "s", 2)
+	f.until("it is registered with its service again", func() bool { return a.names() == "s@a" && none.names() == "" })
+	// All were told of it by whole lists, and a steward that starts again reads what it keeps.
+	for _, name := range f.names {
+		f.kill(name)
+		f.start(name)
+	}
+	f.leader()
+	for _, name := range f.names {
+		f.until(name+" has it", func() bool {
+			l := f.wholeOf(name, "service=a")
+			return len(l.Hosts) == 1 && l.Hosts[0].BornMs == 2
+		})
+	}
+	a.end(t)
+	none.end(t)
+}
+
+// Of a service that falls silent as a whole, while all others stand, the servers stay listed
+// until an operator confirms; single servers of others and services of one end meanwhile.
+func TestScopeMassFailure(t *testing.T) {
+	f := newFleet(t, 3)
+	f.extra = strings.Replace(f.extra, "10m", "3s", 1)
+	for _, name := range f.names {
+		f.kill(name)
+		f.configure(name, f.names)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	sizes := map[string]int{"fails": 8, "stands": 30, "one": 1}
+	var mu sync.Mutex
+	silent := map[string]bool{}
+	fall := func(names ...string) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, name := range names {
+			silent[name] = true
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c := f.client(f.names...)
+		for ctx.Err() == nil {
+			var refs []catalog.Ref
+			mu.Lock()
+			for service, size := range sizes {
+				for i := range size {
+					if name := fmt.Sprintf("%s-%d", service, i); !silent[name] {
+						refs = append(refs, catalog.Ref{Name: name, BornMs: 1})
+					}
+				}
+			}
+			mu.Unlock()
+			call, end := context.WithTimeout(ctx, 2*time.Second)
+			_, _ = c.Renew(call, refs)
+			end()
+			select {
+			case <-time.After(200 * time.Millisecond):
+			case <-ctx.Done():
+			}
+		}
+	}()
+	defer func() { cancel(); <-done }()
+	for service, size := range sizes {
+		for i := range size {
+			f.registerIn(service, fmt.Sprintf("%s-%d", service, i), 1)
+		}
+	}
+	watch := f.subscribe([]string{"fails"}, f.names...)
+	count := func(service string) int { return len(f.wholeOf(f.leader(), "service="+service).Hosts) }
+	f.until("all are listed", func() bool { return count("fails") == 8 && count("stands") == 30 && count("one") == 1 })
+	for i := range 8 {
+		fall(fmt.Sprint("fails-", i))
+	}
+	f.until("they are held", func() bool {
+		st, err := f.status(f.leader())
+		return err == nil && st.Held == 8
+	})
+	fall("stands-3", "one-0")
+	f.until("others end while they are held", func() bool { return count("stands") == 29 && count("one") == 0 })
+	if n := count("fails"); n != 8 {
+		t.Errorf("%d of the service's 8 servers are listed", n)
+	}
+	// A leader that is elected meanwhile gives them their full time, and holds them again.
+	f.until("they are off the list once that is confirmed while they are held", func() bool {
+		if st, err := f.status(f.leader()); err == nil && st.Held > 0 {
+			call, end := context.WithTimeout(context.Background(), 5*time.Second)
+			defer end()
+			_ = f.client(f.names...).Confirm(call)
+		}
+		return watch.names() == "" && count("fails") == 0
+	})
+	watch.end(t)
+}
