Mutants of lists by service, and two tests that they asked for

TestScopeAdmission failed once in 20 under -race, as time passed while it counted: it counts on a clock that stands still now, with the same figures.

--- a/internal/catalog/services_test.go
+++ b/internal/catalog/services_test.go
@@ -255,6 +255,28 @@
 	}
 }
 
+// A reader from before a raised version may have its own from another life of the service,
+// so it gets the whole list, whatever changed.
+func TestRaisedVersionIsWhole(t *testing.T) {
+	s := New()
+	do(s, 0, Command{Kind: Register, Host: hostOf("s", 1, "a")})
+	do(s, 0, Command{Kind: Register, Host: hostOf("moves", 1, "a")})
+	do(s, 0, Command{Kind: Register, Host: hostOf("moves", 1, "b")})
+	since := s.Seq
+	do(s, 0, Command{Kind: Floor, Seq: 1000})
+	for _, from := range []int64{since, 999} {
+		if l := s.ListServices([]string{"a"}, from, false); !l.Whole || len(l.Hosts) != 1 || l.Seq != 1000 {
+			t.Errorf("a reader at version %d: %+v", from, l)
+		}
+	}
+	if l := s.ListServices([]string{"a"}, 1000, false); l.Whole || len(l.Hosts) != 0 {
+		t.Errorf("a reader at the raised version: %+v", l)
+	}
+	if len(s.Scopes.Moved) != 0 {
+		t.Errorf("moves from before it are kept: %+v", s.Scopes.Moved)
+	}
+}
+
 // A snapshot from before there were services is read: its entries belong to the default
 // service, and readers of services from before it get the whole list.
 func TestSnapshotFromBeforeServices(t *testing.T) {
--- a/internal/control/scope_test.go
+++ b/internal/control/scope_test.go
@@ -410,12 +410,19 @@
 	if sum != cache.bytes {
 		t.Errorf("%d bytes kept, counted as %d", sum, cache.bytes)
 	}
-	other := newStand(t)
-	other.registerIn(t, "a", "x", 1)
+}
+
+// The lists that are kept of one state are not served once another is in its place, also
+// where the versions are the same.
+func TestScopeListsOfAnotherState(t *testing.T) {
+	st, other := newStand(t), newStand(t)
+	st.registerIn(t, "a", "before", 1)
+	other.registerIn(t, "a", "after", 1)
+	st.hub.topics.cache.list([]string{"a"})
 	st.fsm.mu.Lock()
 	st.fsm.state = other.fsm.state
 	st.fsm.mu.Unlock()
-	if text, _ := cache.list([]string{"a"}); !bytes.Contains(text, []byte(`"x"`)) || bytes.Contains(text, []byte(`"a-2"`)) {
+	if text, _ := st.hub.topics.cache.list([]string{"a"}); !bytes.Contains(text, []byte(`"after"`)) || bytes.Contains(text, []byte(`"before"`)) {
 		t.Errorf("of another state: %s", text)
 	}
 }
@@ -509,17 +516,19 @@
 			t.Errorf("%q, follow %v from %d: %d bytes, want %d to %d", c.services, c.follow, c.since, got, c.least, c.most)
 		}
 	}
-	c := Defaults()
-	c.CallRate = 400
-	for bytes, want := range map[int]int{0: 100, 30 * listEntryBytes: 100, 2000 * listEntryBytes: 9, 39_000 * listEntryBytes: 1} {
-		a, admitted := newAdmission(&c), 0
-		for a.call(httptest.NewRecorder(), bytes) {
-			admitted++
-		}
-		if admitted != want {
-			t.Errorf("lists of %d bytes: %d admitted at once, want %d", bytes, admitted, want)
+	synctest.Test(t, func(t *testing.T) { // at once: no time passes while they are admitted
+		c := Defaults()
+		c.CallRate = 400
+		for bytes, want := range map[int]int{0: 100, 30 * listEntryBytes: 100, 2000 * listEntryBytes: 9, 39_000 * listEntryBytes: 1} {
+			a, admitted := newAdmission(&c), 0
+			for a.call(httptest.NewRecorder(), bytes) {
+				admitted++
+			}
+			if admitted != want {
+				t.Errorf("lists of %d bytes: %d admitted at once, want %d", bytes, admitted, want)
+			}
 		}
-	}
+	})
 }
 
 // As many watches are admitted as there are descriptors for.
