--- a/cmd/steward/scope_test.go
+++ b/cmd/steward/scope_test.go
@@ -616,3 +616,54 @@
 	})
 	watch.end(t)
 }
+
+// BenchmarkScopeAhead registers 39,000 servers in 1,900 services with a steward, which is
+// then killed and started again; and what readers of 20 of them get.
+func BenchmarkScopeAhead(b *testing.B) {
+	const servers, services, writers = 39_000, 1900, 32
+	for range b.N {
+		f := newFleet(b, 1)
+		name := f.names[0]
+		began := time.Now()
+		var writing sync.WaitGroup
+		next := make(chan int)
+		for range writers {
+			writing.Go(func() {
+				for i := range next {
+					for {
+						ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+						_, err := f.all[name].client.Register(ctx, entryOf(fmt.Sprint("service-", i%services), fmt.Sprintf("server-%05d", i), 1))
+						cancel()
+						if err == nil {
+							break
+						}
+					}
+				}
+			})
+		}
+		for i := range servers {
+			next <- i
+		}
+		close(next)
+		writing.Wait()
+		b.ReportMetric(time.Since(began).Seconds(), "s/register")
+		_, _, text := f.get(name, "/v1/snapshot")
+		b.ReportMetric(float64(len(text)), "B/snapshot")
+		var twenty []string
+		for i := range 20 {
+			twenty = append(twenty, fmt.Sprint("service-", i))
+		}
+		_, _, text = f.get(name, endpoints.Path+"?"+scopeQuery(twenty))
+		b.ReportMetric(float64(len(text)), "B/list-of-20")
+		_, _, text = f.get(name, endpoints.Path)
+		b.ReportMetric(float64(len(text)), "B/list")
+		f.kill(name)
+		began = time.Now()
+		f.start(name)
+		f.until("all are listed again", func() bool {
+			st, err := f.status(name)
+			return err == nil && st.Listed == servers
+		})
+		b.ReportMetric(time.Since(began).Seconds(), "s/start")
+	}
+}
--- a/internal/control/fanout.go
+++ b/internal/control/fanout.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/endpoints"
@@ -90,6 +89,7 @@
 // watch writes what changes after a version until the reader or the steward ends it.
 func (h *hub) watch(ctx context.Context, w http.ResponseWriter, since int64, moved <-chan struct{}) {
 	out := newWatchWriter(w)
+	defer out.close()
 	// The version and what leads on from it are read together, so that nothing between them
 	// is missed: what is told twice does no harm.
 	_, _, changed, ends := h.after(since)
@@ -102,24 +102,7 @@
 	if !out.write(first) {
 		return
 	}
-	quiet := time.NewTimer(heartbeatInterval)
-	defer quiet.Stop()
-	for {
-		select {
-		case <-changed:
-		case <-quiet.C:
-			if !out.heartbeat() {
-				return
-			}
-			quiet.Reset(heartbeatInterval)
-			continue
-		case <-ends:
-			return
-		case <-moved:
-			return
-		case <-ctx.Done():
-			return
-		}
+	for out.await(changed, watchEnd{ctx, ends, moved}) {
 		var lines []line
 		var ok bool
 		lines, ok, changed, ends = h.after(pos)
@@ -140,7 +123,6 @@
 		h.mu.Lock()
 		h.sent += int64(len(lines))
 		h.mu.Unlock()
-		quiet.Reset(heartbeatInterval)
 	}
 }
 
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -76,7 +76,7 @@
 // steward ends it.
 func (h *hub) watchServices(ctx context.Context, w http.ResponseWriter, services []string, since int64, moved <-chan struct{}) {
 	h.mu.Lock()
-	ends := h.ends
+	all := h.ends
 	h.mu.Unlock()
-	h.topics.watch(ctx, w, services, since, ends, moved)
+	h.topics.watch(w, services, since, watchEnd{ctx, all, moved})
 }
--- a/internal/control/topics.go
+++ b/internal/control/topics.go
@@ -3,14 +3,12 @@
 import (
 	"bytes"
 	"cmp"
-	"context"
 	"encoding/json"
 	"net/http"
 	"slices"
 	"sort"
 	"strconv"
 	"sync"
-	"time"
 
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/endpoints"
@@ -248,8 +246,9 @@
 
 // watch writes what changes in some services after a version until the reader or the steward
 // ends it.
-func (t *topics) watch(ctx context.Context, w http.ResponseWriter, services []string, since int64, ends, moved <-chan struct{}) {
+func (t *topics) watch(w http.ResponseWriter, services []string, since int64, end watchEnd) {
 	out := newWatchWriter(w)
+	defer out.close()
 	sub := t.subscribe(services)
 	defer t.unsubscribe(sub)
 	text, pos := t.list(services, since, false)
@@ -257,33 +256,13 @@
 		return
 	}
 	t.count([][]byte{text})
-	quiet := time.NewTimer(heartbeatInterval)
-	defer quiet.Stop()
-	for {
-		select {
-		case <-sub.notify:
-		case <-quiet.C:
-			if !out.heartbeat() {
-				return
-			}
-			quiet.Reset(heartbeatInterval)
-			continue
-		case <-ends:
-			return
-		case <-moved:
-			return
-		case <-ctx.Done():
-			return
-		}
+	for out.await(sub.notify, end) {
 		lines, to, ok := t.pending(sub, pos)
 		if !ok {
 			// Where no line leads on, the whole list does; it is of the last version published at least.
 			text, to = t.list(services, 0, true)
 			lines = [][]byte{text}
 		}
-		if len(lines) == 0 {
-			continue // the list that began the watch had it
-		}
 		for _, line := range lines {
 			if !out.write(line) {
 				return
@@ -291,7 +270,6 @@
 		}
 		pos = to
 		t.count(lines)
-		quiet.Reset(heartbeatInterval)
 	}
 }
 
--- a/internal/control/watches.go
+++ b/internal/control/watches.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"net/http"
 	"time"
 )
@@ -68,16 +69,48 @@
 	return h.open
 }
 
-// watchWriter writes the lines of one watch, each within a bounded time.
+// watchWriter writes the lines of one watch, each within a bounded time, and heartbeats
+// between them.
 type watchWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	quiet   *time.Timer // until the next heartbeat
 }
 
 func newWatchWriter(w http.ResponseWriter) *watchWriter {
-	return &watchWriter{w, http.NewResponseController(w)}
+	return &watchWriter{w, http.NewResponseController(w), time.NewTimer(heartbeatInterval)}
 }
 
+// watchEnd is what ends a watch other than its reader.
+type watchEnd struct {
+	ctx   context.Context
+	all   <-chan struct{} // closed to end all watches
+	moved <-chan struct{} // closed to send this one elsewhere
+}
+
+// await writes heartbeats until there is news, and tells whether the watch goes on.
+func (w *watchWriter) await(news <-chan struct{}, end watchEnd) bool {
+	for {
+		select {
+		case <-news:
+			return true
+		case <-w.quiet.C:
+			if !w.write([]byte("\n")) {
+				return false
+			}
+		case <-end.all:
+			return false
+		case <-end.moved:
+			return false
+		case <-end.ctx.Done():
+			return false
+		}
+	}
+}
+
+// close releases what the writer holds.
+func (w *watchWriter) close() { w.quiet.Stop() }
+
 // write sends a text at once, and tells whether the reader took it in time.
 func (w *watchWriter) write(text []byte) bool {
 	if w.control.SetWriteDeadline(time.Now().Add(writeWait)) != nil {
@@ -86,8 +119,6 @@
 	if _, err := w.w.Write(text); err != nil {
 		return false
 	}
+	w.quiet.Reset(heartbeatInterval)
 	return w.control.Flush() == nil
 }
-
-// heartbeat sends the empty line that shows that a quiet watch lives.
-func (w *watchWriter) heartbeat() bool { return w.write([]byte("\n")) }
