--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -22,6 +22,7 @@
 	commands := []catalog.Command{
 		{Kind: catalog.Lapse, Refs: d.Lapse},
 		{Kind: catalog.Hold, Refs: d.Hold},
+		{Kind: catalog.Hold, Why: catalog.HoldService, Refs: d.HoldService},
 		{Kind: catalog.Seen, Refs: d.Seen},
 		{Kind: catalog.Admit, Refs: d.Admit},
 	}
--- a/internal/control/watches.go
+++ b/internal/control/watches.go
@@ -1,97 +1,124 @@
 package control
 
-import "time"
+import (
+	"context"
+	"net/http"
+	"time"
+)
 
-// drainSteps is in how many steps Close moves the watches to other stewards.
-const drainSteps = 20
+// watches is how many watches are open.
+func (h *hub) watches() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
 
-// watchLoop sends watches to other stewards: all of them once this steward is stale and
-// another can serve them, and a few at a time when others have fewer. It also measures the
-// lag behind the leader that makes a steward stale. It returns when the steward stops.
-func (n *Node) watchLoop() {
-	t := time.NewTicker(min(n.c.StaleAfter/4, statusMaxAge))
-	defer t.Stop()
-	var behind progress
-	var rebalanced time.Time
-	for {
-		select {
-		case <-t.C:
-		case <-n.ctx.Done():
-			return
-		}
-		found := n.peerStatuses()
-		n.noteCommitted(&behind, found)
-		n.rejoinLost(found)
-		n.lagged.Store(int64(behind.lag(time.Since(n.began), n.raft().AppliedIndex())))
-		if n.stale() && anyCanServe(found) {
-			n.endWatches()
-			continue
-		}
-		if time.Since(rebalanced) < statusMaxAge {
-			continue
-		}
-		rebalanced = time.Now()
-		n.rebalance(found)
+// load is how many watches there are, and how many of them can go elsewhere.
+func (h *hub) load() load {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return load{h.open, len(h.movable)}
+}
+
+// enter counts a watch, unless there are as many as there may be. What it returns is closed
+// to end this one.
+func (h *hub) enter(most int, movable bool) (chan struct{}, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open >= most {
+		return nil, false
+	}
+	h.open++
+	end := make(chan struct{})
+	if movable {
+		h.movable[end] = true
 	}
+	return end, true
 }
 
-// noteCommitted records the leader's commit index, against which this steward's lag is
-// measured.
-func (n *Node) noteCommitted(behind *progress, found []Status) {
-	for i := range found {
-		if st := &found[i]; st.State == "leader" && st.Term >= n.raft().CurrentTerm() {
-			behind.saw(time.Since(n.began), st.Committed)
+// leave ends the counting of a watch.
+func (h *hub) leave(end chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open--
+	delete(h.movable, end)
+}
+
+// move ends so many of the watches whose readers can go elsewhere, and tells how many it
+// were. Which ones is left to chance.
+func (h *hub) move(n int) (moved int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for end := range h.movable {
+		if moved >= n {
+			break
 		}
+		close(end)
+		delete(h.movable, end)
+		moved++
 	}
+	return moved
 }
 
-// endWatches ends all watches of a stale steward, so that their readers go to another.
-func (n *Node) endWatches() {
-	ended := n.hub.endAll()
-	if ended == 0 {
-		return
-	}
-	n.log.Warn("without the quorum or behind: watches are sent elsewhere", "watches", ended,
-		"silent_for", n.silence().Round(time.Millisecond), "behind_by", time.Duration(n.lagged.Load()).Round(time.Millisecond))
+// endAll ends all watches and tells how many there were.
+func (h *hub) endAll() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.ends)
+	h.ends = make(chan struct{})
+	return h.open
 }
 
-// rebalance ends a small part of the watches if other stewards have fewer.
-func (n *Node) rebalance(found []Status) {
-	moved := n.hub.move(surplus(n.hub.load(), peerLoads(found)))
-	if moved == 0 {
-		return
-	}
-	n.m.moved.Add(float64(moved))
-	n.log.Info("other stewards have fewer watches", "sent_elsewhere", moved, "left", n.hub.watches())
+// watchWriter writes the lines of one watch, each within a bounded time, and heartbeats
+// between them.
+type watchWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	quiet   *time.Timer // until the next heartbeat
+}
+
+func newWatchWriter(w http.ResponseWriter) *watchWriter {
+	return &watchWriter{w, http.NewResponseController(w), time.NewTimer(heartbeatInterval)}
+}
+
+// watchEnd is what ends a watch other than its reader.
+type watchEnd struct {
+	ctx   context.Context
+	all   <-chan struct{} // closed to end all watches
+	moved <-chan struct{} // closed to send this one elsewhere
 }
 
-// peerLoads returns the loads of the stewards that a watch can be sent to.
-func peerLoads(found []Status) (out []load) {
-	for i := range found {
-		if st := &found[i]; canServe(st) {
-			out = append(out, load{st.Watches, st.Movable})
+// await writes heartbeats until there is news, and tells whether the watch goes on.
+func (w *watchWriter) await(news <-chan struct{}, end watchEnd) bool {
+	for {
+		select {
+		case <-news:
+			return true
+		case <-w.quiet.C:
+			if !w.write([]byte("\n")) {
+				return false
+			}
+		case <-end.all:
+			return false
+		case <-end.moved:
+			return false
+		case <-end.ctx.Done():
+			return false
 		}
 	}
-	return out
 }
 
-// drain moves the watches that can go to other stewards, in steps spread over the configured
-// time, so that the others aren't hit by all of them at once. It does nothing but set the
-// draining flag if no other steward can serve.
-func (n *Node) drain() {
-	n.draining.Store(true)
-	if n.c.Drain <= 0 || !n.betterElsewhere() {
-		return
+// close releases what the writer holds.
+func (w *watchWriter) close() { w.quiet.Stop() }
+
+// write sends a text at once, and tells whether the reader took it in time.
+func (w *watchWriter) write(text []byte) bool {
+	if w.control.SetWriteDeadline(time.Now().Add(writeWait)) != nil {
+		return false
 	}
-	first := n.hub.load().movable
-	t := time.NewTicker(max(n.c.Drain/drainSteps, time.Millisecond))
-	defer t.Stop()
-	for range drainSteps {
-		if n.hub.load().movable == 0 {
-			break
-		}
-		n.m.moved.Add(float64(n.hub.move((first + drainSteps - 1) / drainSteps)))
-		<-t.C
+	if _, err := w.w.Write(text); err != nil {
+		return false
 	}
-	n.log.Info("drained", "watches", first, "left", n.hub.watches())
+	w.quiet.Reset(heartbeatInterval)
+	return w.control.Flush() == nil
 }
