Let a reader subscribe to services: client, table of what it holds, agent's key

Change: endpoints.Client sends the services it subscribes to and changes them at run time without a gap; endpoints.ServiceTable turns lists, scoped or not, into those of the services, keeps a service that a whole list empties, and reports it; the agent takes our key services.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -39,6 +39,7 @@
 
 	// What the platform doesn't know; it is off unless a configuration of our own has it.
 	Stewards []string // the list service's addresses, in place of Discovery
+	Services []string // the services whose servers the agent asks the Stewards for; nil: all
 	LogLevel slog.Level
 }
 
@@ -79,6 +80,7 @@
 		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 		Stewards  []string        `json:"stewards"`
+		Services  []string        `json:"services"`
 		LogLevel  string          `json:"log_level"`
 	}
 	if err := json.Unmarshal(text, &raw); err != nil {
@@ -89,7 +91,7 @@
 		return nil, fmt.Errorf("config: no JSON: %w", err)
 	}
 	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Limits: raw.Limits,
-		Stewards: raw.Stewards}
+		Stewards: raw.Stewards, Services: raw.Services}
 	if err := c.LogLevel.UnmarshalText([]byte(raw.LogLevel)); err != nil && raw.LogLevel != "" {
 		return nil, fmt.Errorf("config: log_level: must be debug, info, warn or error, is %q", raw.LogLevel)
 	}
@@ -110,6 +112,9 @@
 			return nil, fmt.Errorf("config: stewards[%d]: named twice: %q", i, addr)
 		}
 	}
+	if err := checkServices(raw.Services, raw.Stewards); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(raw.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("config: seed: not 64 bits in hexadecimal: %q", raw.Seed)
@@ -199,6 +204,17 @@
 // and as many more while they are replaced.
 const mostStewards = 16
 
+// checkServices tells whether the services make sense; without the key there are none.
+func checkServices(services, stewards []string) error {
+	if services == nil {
+		return nil
+	}
+	if len(stewards) == 0 {
+		return errors.New("services: only with stewards, which are not set")
+	}
+	return endpoints.CheckServices(services)
+}
+
 func checkAddress(addr string) error {
 	_, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -29,7 +29,7 @@
 	inFetched                  // list or err
 	inWatched                  // list
 	inWatchEnded               // err
-	inMoved                    // addrs: where discovery is from now on
+	inMoved                    // addrs: where discovery is from now on, names: the services asked for
 	inLeaving                  // the agent is about to end
 	inFailover                 // addr: where it is not asked any more, err
 )
@@ -46,6 +46,7 @@
 	from  *discovery // who told
 	addr  string
 	addrs []string
+	names []string // of services
 }
 
 // request is what a client asked. The handler fills it in; what stands below
@@ -104,6 +105,7 @@
 	dialer   *dialer
 	disc     *discovery
 	lists    *endpoints.ClientConfig // of what several stewards list; nil: one discovery does
+	scope    scope                   // the services whose servers are asked for
 	quiet    endpoints.Bucket        // for lines on discovery
 	left     int                     // lines since the last that there was no room for
 	leaveOff context.CancelFunc      // ends the calls to disc
@@ -154,7 +156,8 @@
 	// A fault of discovery is one that all agents see: they share the room for its lines.
 	l.quiet = endpoints.Bucket{Most: 10, PerSecond: min(1, 20/float64(max(set.Replicas, 1)))}
 	if len(c.Stewards) > 0 {
-		l.lists = &endpoints.ClientConfig{Order: c.Seed, Fleet: set.Replicas, NeverOlder: true}
+		l.lists = &endpoints.ClientConfig{Order: c.Seed, Fleet: set.Replicas, NeverOlder: true, Services: c.Services}
+		l.scope.set(c.Services, 0)
 		if endpoints.IsWord(c.Name, endpoints.MaxName) {
 			l.lists.Member = c.Name
 		}
@@ -162,7 +165,8 @@
 	l.ask(c.addresses())
 	l.actions = l.bal.Start(l.clock(), l.actions[:0])
 	l.act()
-	l.learn(policy.ListCached, &c.Known)
+	known := l.scope.seed(c.Known)
+	l.learn(policy.ListCached, &known)
 	if unasked { // what is pushed counts as told from the first moment of a process
 		l.follow()
 	}
@@ -238,14 +242,16 @@
 			l.warn("discovery: fetch failed", "err", in.err)
 			l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		case in.list.Seq >= l.seq: // the watch may have told more meanwhile
-			l.learn(policy.ListFull, &in.list)
+			l.take(policy.ListFull, &in.list)
 		}
 	case inWatched:
 		switch {
 		case in.list.Whole && (l.lists == nil || in.list.Seq >= l.seq):
-			l.learn(policy.ListFull, &in.list)
+			l.take(policy.ListFull, &in.list)
 		case in.list.Seq >= l.seq: // of the same version: nothing changed, but the call was answered
-			l.learn(policy.ListDelta, &in.list)
+			l.take(policy.ListDelta, &in.list)
+		case l.scope.lacks(&in.list):
+			l.resubscribe()
 		}
 	case inWatchEnded:
 		l.watching = false
@@ -254,7 +260,7 @@
 	case inFailover:
 		l.warn("discovery: asked elsewhere", "left", in.addr, "err", in.err)
 	case inMoved:
-		l.move(in.addrs)
+		l.move(in.addrs, in.names)
 	case inLeaving:
 		if l.lists != nil {
 			go l.disc.leave(l.ctx)
@@ -292,14 +298,23 @@
 // move takes the calls under way to discovery's new address. To the module they are the
 // ones it made. The watch begins there also where the module waits to ask again: that
 // wait is for the address before, and the new one's changes count as told in 4 s. Of
-// several addresses a watch leaves only one that is no longer among them.
-func (l *loop) move(addrs []string) {
-	if slices.Equal(addrs, l.disc.addrs) {
+// several addresses a watch leaves only one that is no longer among them, or all for the sake
+// of other services.
+func (l *loop) move(addrs, services []string) {
+	if l.lists == nil && services != nil {
+		l.log.Warn("services are asked for only by an agent that began with stewards", "services", len(services))
+	}
+	rescoped := l.lists != nil && !l.scope.is(services)
+	if slices.Equal(addrs, l.disc.addrs) && !rescoped {
 		return
 	}
 	if l.lists != nil {
 		l.disc.addrs = addrs
-		l.disc.client.Set(addrs)
+		if rescoped {
+			l.rescope(services)
+		} else {
+			l.disc.client.Set(addrs)
+		}
 	} else {
 		l.leaveOff()
 		l.ask(addrs)
@@ -313,6 +328,33 @@
 	l.follow()
 }
 
+// rescope changes the services that are asked for, at the addresses that are the discovery's
+// now. What is held stays in use until the whole list of the new ones comes.
+func (l *loop) rescope(services []string) {
+	number, err := l.disc.client.Reconfigure(l.disc.addrs, services, l.seq)
+	if err != nil {
+		l.log.Error("the services stay as they were", "err", err)
+		return
+	}
+	l.scope.set(services, number)
+}
+
+// resubscribe asks for the whole list of the same services again.
+func (l *loop) resubscribe() { l.rescope(l.scope.services) }
+
+// take learns what a list says of the services that are asked for.
+func (l *loop) take(kind policy.ListKind, list *endpoints.List) {
+	if list.Subscription != l.scope.number {
+		return // of the services before
+	}
+	list.Whole = kind == policy.ListFull
+	scoped, events := l.scope.apply(*list)
+	for _, e := range events {
+		l.warn("discovery: "+e.Kind.String(), "service", e.Service, "kept", e.Kept, "scoped", e.Scoped)
+	}
+	l.learn(kind, &scoped)
+}
+
 // follow opens the watch, if there is none.
 func (l *loop) follow() {
 	if !l.watching {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -114,9 +114,10 @@
 	return nil
 }
 
-// Reconfigure takes over what may change while the agent runs: discovery's addresses.
+// Reconfigure takes over what may change while the agent runs: discovery's addresses and the
+// services that are asked for.
 func (a *Agent) Reconfigure(c *Config) {
-	a.loop.post(input{kind: inMoved, addrs: c.addresses()})
+	a.loop.post(input{kind: inMoved, addrs: c.addresses(), names: c.Services})
 }
 
 // leave ends the agent in order: clients go on coming for a while after the signal, so
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -43,6 +43,7 @@
 	Silence    time.Duration // 0: as above
 	Member     string        // the name under which the reader is known as present; "": under none
 	NeverOlder bool          // a list older than what the reader has is an address's failure
+	Services   []string      // what the reader subscribes to, as CheckServices takes it; nil: the list of all
 	Transport  http.RoundTripper
 	// Failover hears why an address was left, if it is not nil. It may be called often.
 	Failover func(addr string, err error)
@@ -58,8 +59,9 @@
 
 	mu     sync.Mutex
 	choose *Chooser
-	at     string             // the address of the watch
-	leave  context.CancelFunc // ends the call of the watch
+	wanted subscription
+	at     string                  // the address of the watch
+	leave  context.CancelCauseFunc // ends the call of the watch
 }
 
 var (
@@ -70,6 +72,10 @@
 	errLeft   = errors.New("no longer one of the addresses")
 	errBusy   = errors.New("too many calls there")
 	errEnded  = errors.New("the watch was ended in order")
+	// errResubscribed ends a call for services that are no longer the ones subscribed to. It is
+	// no fault of the address.
+	errResubscribed = errors.New("the services subscribed to have changed")
+	errNotWhole     = errors.New("changes in place of the whole list that was asked for")
 )
 
 // NewClient makes a client.
@@ -83,7 +89,7 @@
 		c.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	}
 	return &Client{c: c, http: &http.Client{Transport: c.Transport}, began: time.Now(),
-		life: crand.Text(), choose: NewChooser(c.Addresses, c.Order, c.Fleet)}
+		life: crand.Text(), choose: NewChooser(c.Addresses, c.Order, c.Fleet), wanted: newSubscription(c.Services)}
 }
 
 // Set changes the addresses. A watch at one that is no longer there goes elsewhere.
@@ -92,10 +98,42 @@
 	defer c.mu.Unlock()
 	c.choose.Set(addrs)
 	if c.leave != nil && !c.choose.Has(c.at) {
-		c.leave()
+		c.leave(errLeft)
 	}
 }
 
+// Subscribe changes the services, nil for the list of all; least is the reader's version. A watch
+// for the services before is ended, and one that begins with the whole list of the new ones takes
+// its place at once and at no cost to the budget. No list older than least is taken from then on.
+// It returns the number that lists of the new subscription carry: what comes with another one was
+// under way and has to be dropped. On an error, which names the service, nothing changes.
+func (c *Client) Subscribe(services []string, least int64) (uint64, error) {
+	return c.update(nil, services, least)
+}
+
+// Reconfigure is Set and Subscribe at the same time.
+func (c *Client) Reconfigure(addrs, services []string, least int64) (uint64, error) {
+	return c.update(func() { c.choose.Set(addrs) }, services, least)
+}
+
+func (c *Client) update(move func(), services []string, least int64) (uint64, error) {
+	if services != nil {
+		if err := CheckServices(services); err != nil {
+			return 0, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if move != nil {
+		move()
+	}
+	c.wanted.change(services, least)
+	if c.leave != nil {
+		c.leave(errResubscribed)
+	}
+	return c.wanted.number, nil
+}
+
 // Held is how often the budget for calls was spent.
 func (c *Client) Held() int64 {
 	c.mu.Lock()
@@ -109,44 +147,56 @@
 	err := c.round(ctx, func(addr string) error {
 		ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		body, err := c.get(ctx, addr, "")
+		c.mu.Lock()
+		asked := c.wanted
+		c.mu.Unlock()
+		resp, err := c.get(ctx, addr, asked.fetchQuery())
 		if err != nil {
 			return err
 		}
-		defer body.Close()
-		text, err := io.ReadAll(io.LimitReader(body, maxList))
+		defer resp.Body.Close()
+		text, err := readList(resp.Body)
 		if err != nil {
 			return err
 		}
 		if l, err = Parse(text); err != nil {
 			return err
 		}
-		if c.c.NeverOlder && l.Seq < least {
+		l.Scoped, l.Subscription = isScoped(resp), asked.number
+		if c.c.NeverOlder && l.Seq < asked.floor(least) {
 			return errOlder
 		}
-		c.served(addr)
-		return nil
+		return c.served(addr, &asked)
 	})
 	return l, err
 }
 
+// readList reads the text of one list.
+func readList(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, maxList+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > maxList {
+		return nil, errLong
+	}
+	return text, nil
+}
+
+// isScoped tells whether the answer is of the services that were asked for alone.
+func isScoped(resp *http.Response) bool { return resp.Header.Get(ScopeHeader) != "" }
+
 // Watch follows the changes after a version, from address to address, until the round is
 // over, and tells why the last one ended.
 func (c *Client) Watch(ctx context.Context, since int64, heard func(List)) error {
 	err := c.round(ctx, func(addr string) error {
 		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
-		c.mu.Lock()
-		c.at, c.leave = addr, func() { cancel(errLeft) }
-		c.mu.Unlock()
-		defer func() {
-			c.mu.Lock()
-			c.at, c.leave = "", nil
-			c.mu.Unlock()
-		}()
+		asked := c.begin(addr, cancel)
+		defer c.over()
 		dead := time.AfterFunc(c.c.Silence, func() { cancel(errSilent) })
 		defer dead.Stop()
-		err := c.follow(ctx, addr, &since, func() { dead.Reset(c.c.Silence) }, heard)
+		err := c.follow(ctx, addr, &asked, &since, func() { dead.Reset(c.c.Silence) }, heard)
 		if cause := context.Cause(ctx); cause != nil && !errors.Is(err, errOlder) {
 			err = cause
 		}
@@ -155,15 +205,33 @@
 	return err
 }
 
+// begin notes that the watch is at an address, and returns what it asks for there.
+func (c *Client) begin(addr string, leave context.CancelCauseFunc) subscription {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at, c.leave = addr, leave
+	asked := c.wanted
+	c.wanted.claims = false
+	return asked
+}
+
+// over notes that the watch is at no address.
+func (c *Client) over() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at, c.leave = "", nil
+}
+
 // follow is one watch at one address. Its end is never nil: in order it is errEnded.
-func (c *Client) follow(ctx context.Context, addr string, since *int64, alive func(), heard func(List)) error {
-	body, err := c.get(ctx, addr, "?follow=1&since="+strconv.FormatInt(*since, 10))
+func (c *Client) follow(ctx context.Context, addr string, asked *subscription, since *int64, alive func(), heard func(List)) error {
+	resp, err := c.get(ctx, addr, asked.watchQuery(*since))
 	if err != nil {
 		return err
 	}
-	defer body.Close()
-	lines := bufio.NewScanner(body)
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxList)
+	based := !asked.wantsWhole // changes make sense
 	var o object
 	for lines.Scan() {
 		whole, err := o.add(lines.Bytes())
@@ -176,23 +244,54 @@
 				return fmt.Errorf("line: %w", err)
 			}
 			o.reset()
-			if c.c.NeverOlder && l.Seq < *since {
+			l.Scoped, l.Subscription = isScoped(resp), asked.number
+			if c.c.NeverOlder && l.Seq < asked.floor(*since) {
+				c.older(asked)
 				return errOlder
 			}
+			if based = based || l.Whole; !based {
+				return errNotWhole
+			}
+			if err := c.took(addr, asked, &l); err != nil {
+				return err
+			}
 			*since = l.Seq
-			c.served(addr)
 			heard(l)
 		}
 		if len(o.text) == 0 {
 			alive() // a list that comes line by line and never ends is no sign of life
 		}
 	}
-	if err := lines.Err(); err != nil {
+	switch err := lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return errLong
+	case err != nil:
 		return err
 	}
 	return errEnded
 }
 
+// took notes that a watch gave a list. On an error the list has to be dropped.
+func (c *Client) took(addr string, asked *subscription, l *List) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wanted.number != asked.number {
+		return errResubscribed
+	}
+	c.wanted.took(l)
+	c.choose.Served(addr)
+	return nil
+}
+
+// older notes that an address answered a watch with a list older than the reader's.
+func (c *Client) older(asked *subscription) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wanted.number == asked.number {
+		c.wanted.claims = asked.wantsWhole && !asked.claims
+	}
+}
+
 // object gathers the lines of one JSON object, which may be written indented.
 type object struct {
 	text   []byte
@@ -275,6 +374,15 @@
 			}
 		}
 		err := call(addr)
+		for errors.Is(err, errResubscribed) && ctx.Err() == nil && c.has(addr) {
+			err = call(addr)
+		}
+		if errors.Is(err, errResubscribed) && ctx.Err() == nil {
+			c.mu.Lock()
+			c.choose.Begin() // at another address, and as soon
+			c.mu.Unlock()
+			continue
+		}
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -293,10 +401,21 @@
 	}
 }
 
-func (c *Client) served(addr string) {
+func (c *Client) has(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.choose.Has(addr)
+}
+
+// served notes that an address gave the list that was fetched. On an error it has to be dropped.
+func (c *Client) served(addr string, asked *subscription) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wanted.number != asked.number {
+		return errResubscribed
+	}
 	c.choose.Served(addr)
+	return nil
 }
 
 // away is an answer that sends the reader away for a time.
@@ -317,7 +436,7 @@
 	return Failed, 0
 }
 
-func (c *Client) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+func (c *Client) get(ctx context.Context, addr, query string) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+Path+query, nil)
 	if err != nil {
 		return nil, err
@@ -347,5 +466,5 @@
 		}
 		return nil, errBehind
 	}
-	return resp.Body, nil
+	return resp, nil
 }
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -28,6 +28,12 @@
 	Seq   int64  `json:"seq"`
 	Whole bool   `json:"whole"`
 	Hosts []Host `json:"hosts"`
+
+	// What a Client notes on a list that it read; the form doesn't have it. Scoped: the list
+	// service understood which services were asked for, and sent only those. Subscription: the
+	// number of the client's subscription that the list answers.
+	Scoped       bool   `json:"-"`
+	Subscription uint64 `json:"-"`
 }
 
 // Host is one backend of a list.
--- /dev/null
+++ b/internal/endpoints/servicetable_test.go
@@ -0,0 +1,393 @@
+package endpoints
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// tableRun feeds a table and a consumer of what it makes of the lists.
+type tableRun struct {
+	t     *testing.T
+	table *ServiceTable
+	held  map[string]Host
+	seq   int64
+}
+
+func newTableRun(t *testing.T, services ...string) *tableRun {
+	return &tableRun{t: t, table: NewServiceTable(services), held: map[string]Host{}}
+}
+
+// apply feeds one list and checks what is held after it, as "name/service" in order, and the events.
+func (r *tableRun) apply(what string, whole, scoped bool, hosts []Host, want string, events ...ServiceEvent) {
+	r.t.Helper()
+	r.seq++
+	out, got := r.table.Apply(List{Seq: r.seq, Whole: whole, Scoped: scoped, Hosts: hosts})
+	consume(r.held, &out)
+	if out.Seq != r.seq || out.Whole != whole {
+		r.t.Errorf("%s: made %+v", what, out)
+	}
+	if holds := holding(r.held); holds != want {
+		r.t.Errorf("%s: holds %q, want %q", what, holds, want)
+	}
+	if !slices.Equal(got, events) {
+		r.t.Errorf("%s: events %+v, want %+v", what, got, events)
+	}
+}
+
+func holding(held map[string]Host) string {
+	var names []string
+	for name, h := range held {
+		names = append(names, name+"/"+h.Service)
+	}
+	slices.Sort(names)
+	return strings.Join(names, " ")
+}
+
+func gone(name, service string) Host { return Host{Host: name, Service: service, Health: Gone} }
+
+func list(hosts ...Host) []Host { return hosts }
+
+// A service without servers is unknown if it never had any. One that had some keeps them if a
+// whole list names none of it, until a list names one again. Each is reported once.
+func TestServiceEvents(t *testing.T) {
+	r := newTableRun(t, "a", "b")
+	a1, a2, b1 := server("a1", "a"), server("a2", "a"), server("b1", "b")
+	r.apply("first", true, true, list(a1, a2), "a1/a a2/a", ServiceEvent{Kind: ServiceUnknown, Service: "b", Scoped: true})
+	r.apply("again", true, true, list(a1, a2), "a1/a a2/a")
+	r.apply("b known", false, true, list(b1), "a1/a a2/a b1/b", ServiceEvent{Kind: ServiceBack, Service: "b", Scoped: true})
+	r.apply("a emptied", true, true, list(b1), "a1/a a2/a b1/b", ServiceEvent{Kind: ServiceEmptied, Service: "a", Kept: 2, Scoped: true})
+	r.apply("still", true, true, list(b1), "a1/a a2/a b1/b")
+	r.apply("a kept one is gone", false, true, list(gone("a2", "a")), "a1/a b1/b")
+	r.apply("all emptied", true, true, nil, "a1/a b1/b", ServiceEvent{Kind: ServiceEmptied, Service: "b", Kept: 1, Scoped: true})
+	r.apply("a back", false, true, list(a2), "a2/a b1/b", ServiceEvent{Kind: ServiceBack, Service: "a", Scoped: true})
+	r.apply("b back", true, true, list(a2, server("b2", "b")), "a2/a b2/b", ServiceEvent{Kind: ServiceBack, Service: "b", Scoped: true})
+	r.apply("a ends by changes", false, true, list(gone("a2", "a")), "b2/b", ServiceEvent{Kind: ServiceEmptied, Service: "a", Scoped: true})
+	r.apply("and stays so", true, true, list(server("b2", "b")), "b2/b")
+	r.apply("a begins anew", false, true, list(a1), "a1/a b2/b", ServiceEvent{Kind: ServiceBack, Service: "a", Scoped: true})
+}
+
+// Entries of other services are dropped, and a server is gone only from the service under which
+// it is held.
+func TestForeignEntries(t *testing.T) {
+	r := newTableRun(t, "a")
+	r.apply("whole", true, true, list(server("a1", "a"), server("x1", "x"), server("d1", "")), "a1/a")
+	r.apply("foreign", false, true, list(server("x2", "x"), server("d1", ""), server("a1", "x")), "a1/a")
+	r.apply("gone elsewhere", false, true, list(gone("a1", "x"), gone("a1", ""), gone("x1", "x")), "a1/a")
+	r.apply("gone", false, true, list(gone("a1", "a")), "", ServiceEvent{Kind: ServiceEmptied, Service: "a", Scoped: true})
+}
+
+// A server that changes its service under one name: a reader of both may hear it in either
+// order, a reader of one hears only its own.
+func TestServerChangesService(t *testing.T) {
+	now := server("s", "b")
+	now.Dial = "127.0.0.1:10"
+	a, b := server("a1", "a"), server("b1", "b")
+	for name, line := range map[string][]Host{"gone first": {gone("s", "a"), now}, "gone last": {now, gone("s", "a")}} {
+		t.Run(name, func(t *testing.T) {
+			both := newTableRun(t, "a", "b")
+			both.apply("both: whole", true, true, list(a, b, server("s", "a")), "a1/a b1/b s/a")
+			both.apply("both: change", false, true, line, "a1/a b1/b s/b")
+			if both.held["s"].Dial != now.Dial {
+				t.Errorf("holds %+v", both.held["s"])
+			}
+			two := newTableRun(t, "a", "b") // the entries come in lines of their own
+			two.apply("two lines: whole", true, true, list(a, b, server("s", "a")), "a1/a b1/b s/a")
+			two.apply("two lines: first", false, true, line[:1], map[bool]string{true: "a1/a b1/b", false: "a1/a b1/b s/b"}[line[0].Health == Gone])
+			two.apply("two lines: second", false, true, line[1:], "a1/a b1/b s/b")
+		})
+	}
+	before := newTableRun(t, "a")
+	before.apply("before: whole", true, true, list(a, server("s", "a")), "a1/a s/a")
+	before.apply("before: change", false, true, list(gone("s", "a")), "a1/a")
+	after := newTableRun(t, "b")
+	after.apply("after: whole", true, true, list(b), "b1/b")
+	after.apply("after: change", false, true, list(now), "b1/b s/b")
+	// A whole list that has all servers of a service under another one leaves nothing to keep.
+	all := newTableRun(t, "a", "b")
+	all.apply("all: whole", true, true, list(server("s", "a"), b), "b1/b s/a")
+	all.apply("all: moved", true, true, list(now, b), "b1/b s/b", ServiceEvent{Kind: ServiceEmptied, Service: "a", Scoped: true})
+	// The line names a server once, whatever it has of it.
+	out, _ := all.table.Apply(List{Seq: 9, Scoped: true, Hosts: list(gone("s", "b"), server("s", "a"), gone("s", "a"), now)})
+	if len(out.Hosts) != 1 || out.Hosts[0] != now {
+		t.Errorf("made %+v", out)
+	}
+}
+
+// What comes unscoped is filtered by the service that an entry names, else by the one that it is
+// held under, else it is the default service's.
+func TestUnscopedLists(t *testing.T) {
+	bare := func(name string) Host { return server(name, "") }
+	r := newTableRun(t, "a", "b")
+	r.apply("scoped", true, true, list(server("a1", "a"), server("a2", "a"), server("b1", "b")), "a1/a a2/a b1/b")
+	r.apply("whole", true, false, list(bare("a1"), bare("b1"), bare("x1")), "a1/a b1/b")
+	if r.table.Settled() {
+		t.Error("an unscoped list settles the table")
+	}
+	r.apply("changes", false, false, list(bare("x2"), server("a3", "a"), gone("x1", ""), server("x3", "x")), "a1/a a3/a b1/b")
+	r.apply("gone", false, false, list(gone("a3", ""), gone("b1", "a")), "a1/a b1/b")
+	r.apply("went to another service", false, false, list(server("b1", "x")), "a1/a",
+		ServiceEvent{Kind: ServiceEmptied, Service: "b"})
+	r.apply("mass failure", true, false, list(bare("x1")), "a1/a", ServiceEvent{Kind: ServiceEmptied, Service: "a", Kept: 1})
+	r.apply("over", true, false, list(bare("x1"), bare("a1")), "a1/a", ServiceEvent{Kind: ServiceBack, Service: "a"})
+	d := newTableRun(t, "")
+	d.apply("default service", true, false, list(bare("d1"), server("x1", "x")), "d1/")
+	u := newTableRun(t, "a")
+	u.apply("can't tell", true, false, list(bare("x1")), "", ServiceEvent{Kind: ServiceUnknown, Service: "a"})
+}
+
+// What was known before the first list stays in use, as far as it is of the services, and is kept
+// when that list has none of a service.
+func TestSeed(t *testing.T) {
+	table := NewServiceTable([]string{"a", "b"})
+	known := List{Seq: 5, Whole: true, Hosts: list(server("a1", "a"), server("d1", ""), server("x1", "x"), gone("a2", "a"), server("a1", "b"))}
+	if out := table.Seed(known); out.Seq != 5 || len(out.Hosts) != 1 || out.Hosts[0] != server("a1", "a") {
+		t.Fatalf("seeded %+v", out)
+	}
+	if out, events := table.Apply(List{Seq: 6, Scoped: true, Hosts: list(gone("a1", "a"))}); len(out.Hosts)+len(events) > 0 || out.Seq != 6 {
+		t.Fatalf("took a change before the whole list: %+v", out)
+	}
+	out, events := table.Apply(List{Seq: 6, Whole: true, Scoped: true})
+	want := []ServiceEvent{{Kind: ServiceEmptied, Service: "a", Kept: 1, Scoped: true}, {Kind: ServiceUnknown, Service: "b", Scoped: true}}
+	if len(out.Hosts) != 1 || !slices.Equal(events, want) {
+		t.Fatalf("made %+v, %+v", out, events)
+	}
+}
+
+// A subscription that changes keeps what is held until the whole list of the new one comes; what
+// is known of the services that stay goes along.
+func TestTableSubscribes(t *testing.T) {
+	r := newTableRun(t, "a", "b")
+	r.apply("before", true, true, list(server("a1", "a"), server("b1", "b")), "a1/a b1/b")
+	r.table.Subscribe([]string{"b", "c"})
+	r.apply("a late change", false, true, list(gone("b1", "b"), server("c1", "c")), "a1/a b1/b")
+	if r.table.Settled() {
+		t.Error("settled before the list")
+	}
+	r.apply("whole", true, true, list(server("c1", "c")), "b1/b c1/c", ServiceEvent{Kind: ServiceEmptied, Service: "b", Kept: 1, Scoped: true})
+	if !r.table.Settled() {
+		t.Error("not settled")
+	}
+	r.table.Subscribe([]string{"a"})
+	r.table.Subscribe([]string{"b"}) // left and subscribed to again before a list came
+	r.apply("again", true, true, nil, "b1/b", ServiceEvent{Kind: ServiceEmptied, Service: "b", Kept: 1, Scoped: true})
+	many := make([]string, MaxServices+10)
+	for i := range many {
+		many[i] = fmt.Sprint("s", i)
+	}
+	if r.table.Subscribe(many); len(r.table.services) != MaxServices {
+		t.Errorf("subscribes to %d services", len(r.table.services))
+	}
+}
+
+// A change costs by its own entries and not by the servers of its service; a service of one server
+// and one of 5,000 are the same to it. Counted are allocations, which each entry's work needs.
+func TestCostOfChange(t *testing.T) {
+	cost := map[int]float64{}
+	for _, n := range []int{1, 5000} {
+		table := NewServiceTable([]string{"a"})
+		var hosts []Host
+		for i := range n {
+			hosts = append(hosts, server(fmt.Sprint("a", i), "a"))
+		}
+		out, events := table.Apply(List{Seq: 1, Whole: true, Scoped: true, Hosts: hosts})
+		if !slices.Equal(out.Hosts, hosts) || len(events) > 0 {
+			t.Fatalf("made %d of %d, %+v", len(out.Hosts), n, events)
+		}
+		line := List{Seq: 2, Scoped: true, Hosts: list(hosts[0])}
+		cost[n] = testing.AllocsPerRun(100, func() { table.Apply(line) })
+		out, events = table.Apply(List{Seq: 3, Whole: true, Scoped: true})
+		if want := (ServiceEvent{Kind: ServiceEmptied, Service: "a", Kept: n, Scoped: true}); len(out.Hosts) != n || len(events) != 1 || events[0] != want {
+			t.Fatalf("kept %d of %d: %+v", len(out.Hosts), n, events)
+		}
+		out, _ = table.Apply(List{Seq: 4, Scoped: true, Hosts: list(hosts[0])})
+		if len(out.Hosts) != n || len(table.hosts) != 1 {
+			t.Fatalf("after the service is back %d are touched, %d held", len(out.Hosts), len(table.hosts))
+		}
+	}
+	if cost[5000] > cost[1] {
+		t.Errorf("a change costs %v", cost)
+	}
+}
+
+// modelTable is what ServiceTable does, written as whole new states and their difference.
+type modelTable struct {
+	services []string
+	held     map[string]Host // by name
+	doubted  map[string]bool // services
+	state    map[string]string
+	based    bool
+}
+
+func (m *modelTable) subscribed(service string) bool { return slices.Contains(m.services, service) }
+
+func (m *modelTable) of(held map[string]Host, service string) (names []string) {
+	for name, h := range held {
+		if h.Service == service {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// service is where an entry belongs, given what is held.
+func (m *modelTable) service(h Host, scoped bool, held map[string]Host) string {
+	if before, ok := held[h.Host]; ok && !scoped && h.Service == "" {
+		return before.Service
+	}
+	return h.Service
+}
+
+func (m *modelTable) whole(l List) {
+	next := map[string]Host{}
+	for _, h := range l.Hosts {
+		h.Service = m.service(h, l.Scoped, m.held)
+		if h.Health != Gone && m.subscribed(h.Service) {
+			next[h.Host] = h
+		}
+	}
+	m.doubted = map[string]bool{}
+	keep := map[string]Host{}
+	for _, service := range m.services {
+		if len(m.of(next, service)) > 0 {
+			continue
+		}
+		for _, name := range m.of(m.held, service) {
+			if _, listed := next[name]; !listed {
+				keep[name] = m.held[name]
+				m.doubted[service] = true
+			}
+		}
+	}
+	maps.Copy(next, keep)
+	m.held, m.based = next, true
+}
+
+func (m *modelTable) change(l List) {
+	if !m.based {
+		return
+	}
+	for _, h := range l.Hosts {
+		before, held := m.held[h.Host]
+		service := m.service(h, l.Scoped, m.held)
+		switch {
+		case h.Health == Gone && held && before.Service == service:
+			delete(m.held, h.Host)
+		case h.Health == Gone:
+		case m.subscribed(service):
+			if m.doubted[service] {
+				maps.DeleteFunc(m.held, func(_ string, k Host) bool { return k.Service == service })
+				m.doubted[service] = false
+			}
+			h.Service = service
+			m.held[h.Host] = h
+		case !l.Scoped:
+			delete(m.held, h.Host)
+		}
+	}
+}
+
+// events is what became of the services, by state alone. All are looked at: those that no entry
+// touched have not changed.
+func (m *modelTable) events(l List) (events []ServiceEvent) {
+	if !m.based {
+		return nil
+	}
+	for _, service := range slices.Sorted(slices.Values(m.services)) {
+		n, was := len(m.of(m.held, service)), m.state[service]
+		now := "there"
+		switch {
+		case n > 0 && !m.doubted[service]:
+		case n == 0 && (was == "" || was == "unknown"):
+			now = "unknown"
+		default:
+			now = "emptied"
+		}
+		m.state[service] = now
+		switch {
+		case was == now || was == "" && now == "there":
+		case now == "there":
+			events = append(events, ServiceEvent{Kind: ServiceBack, Service: service, Scoped: l.Scoped})
+		case now == "emptied":
+			events = append(events, ServiceEvent{Kind: ServiceEmptied, Service: service, Kept: n, Scoped: l.Scoped})
+		default:
+			events = append(events, ServiceEvent{Kind: ServiceUnknown, Service: service, Scoped: l.Scoped})
+		}
+	}
+	return events
+}
+
+// subscribe forgets how the services stand that are left, and what is held of them once a list came.
+func (m *modelTable) subscribe(services []string) {
+	state := map[string]string{}
+	for _, s := range services {
+		if m.subscribed(s) {
+			state[s] = m.state[s]
+		}
+	}
+	m.services, m.state, m.based = services, state, false
+}
+
+// Whatever lists come, scoped or not, whole or not, over changes of the subscription: a consumer
+// of what the table makes of them holds what the model holds, a change names each server once,
+// and the events are the model's.
+func TestTableEqualsModel(t *testing.T) {
+	services := []string{"", "a", "b", "c"}
+	hostNames := []string{"s0", "s1", "s2", "s3", "s4", "s5"}
+	rapid.Check(t, func(rt *rapid.T) {
+		some := rapid.SliceOfNDistinct(rapid.SampledFrom(services), 1, 3, func(s string) string { return s })
+		first := some.Draw(rt, "services")
+		table := NewServiceTable(first)
+		model := &modelTable{services: first, held: map[string]Host{}, doubted: map[string]bool{}, state: map[string]string{}}
+		held := map[string]Host{}
+		host := rapid.Custom(func(rt *rapid.T) Host {
+			h := server(rapid.SampledFrom(hostNames).Draw(rt, "name"), rapid.SampledFrom(services).Draw(rt, "service"))
+			h.Health = rapid.SampledFrom([]string{Ready, Ready, Draining, Gone, Gone}).Draw(rt, "health")
+			h.Block = rapid.IntRange(0, 9).Draw(rt, "block")
+			return h
+		})
+		if rapid.Bool().Draw(rt, "seeded") {
+			l := List{Hosts: rapid.SliceOfN(host, 0, 5).Draw(rt, "known")}
+			for _, h := range table.Seed(l).Hosts {
+				held[h.Host], model.held[h.Host] = h, h
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			if rapid.IntRange(0, 9).Draw(rt, "step") == 0 {
+				next := some.Draw(rt, "services")
+				table.Subscribe(next)
+				model.subscribe(next)
+				continue
+			}
+			l := List{Whole: rapid.IntRange(0, 3).Draw(rt, "whole") == 0, Scoped: rapid.IntRange(0, 3).Draw(rt, "unscoped") > 0,
+				Hosts: rapid.SliceOfN(host, 0, 6).Draw(rt, "hosts")}
+			out, events := table.Apply(l)
+			seen := map[string]bool{}
+			for _, h := range out.Hosts {
+				if seen[h.Host] || l.Whole && h.Health == Gone {
+					rt.Fatalf("made %+v of %+v", out, l)
+				}
+				seen[h.Host] = true
+			}
+			consume(held, &out)
+			if l.Whole {
+				model.whole(l)
+			} else {
+				model.change(l)
+			}
+			want := model.events(l)
+			if !maps.Equal(held, model.held) || !maps.Equal(table.hosts, model.held) {
+				rt.Fatalf("of %+v holds %v, want %v", l, holding(held), holding(model.held))
+			}
+			byService := func(a, b ServiceEvent) int { return cmp.Compare(a.Service, b.Service) }
+			if slices.SortFunc(events, byService); !slices.Equal(events, want) {
+				rt.Fatalf("of %+v events %+v, want %+v", l, events, want)
+			}
+		}
+	})
+}
