--- /dev/null
+++ b/cmd/molepaddle/services_test.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"molepaddle/internal/endpoints"
+)
+
+// scopedSteward is a list service that knows services. What it is asked for is heard, and answered
+// once the hold on it is over.
+type scopedSteward struct {
+	addr  string
+	asked chan string
+	hold  chan struct{}
+	hosts []endpoints.Host
+}
+
+func startScopedSteward(t *testing.T, hosts []endpoints.Host) *scopedSteward {
+	s := &scopedSteward{asked: make(chan string, 100), hold: make(chan struct{}), hosts: hosts}
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	s.addr = server.Listener.Addr().String()
+	return s
+}
+
+func (s *scopedSteward) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.asked <- r.URL.RawQuery
+	services := q[endpoints.ServiceParam]
+	if !slices.Contains(services, "a") {
+		<-s.hold
+	}
+	w.Header().Set(endpoints.ScopeHeader, fmt.Sprint(len(services)))
+	l := endpoints.List{Seq: 7, Whole: q.Get("since") == "" || q.Get("since") == "0", Hosts: []endpoints.Host{}}
+	for _, h := range s.hosts {
+		if l.Whole && slices.Contains(services, h.Service) {
+			l.Hosts = append(l.Hosts, h)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(l)
+	beat := time.NewTicker(time.Second)
+	defer beat.Stop()
+	for q.Get("follow") != "" {
+		w.(http.Flusher).Flush()
+		select {
+		case <-beat.C:
+			fmt.Fprintln(w)
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// hears waits for a call that asks for exactly this.
+func (s *scopedSteward) hears(t *testing.T, want string) {
+	t.Helper()
+	for limit := time.After(30 * time.Second); ; {
+		select {
+		case got := <-s.asked:
+			if got == want {
+				return
+			}
+		case <-limit:
+			t.Fatalf("never asked for %s", want)
+		}
+	}
+}
+
+// countingServer is a programme server that counts what it gets.
+func countingServer(t *testing.T, name, service string) (endpoints.Host, *atomic.Int64) {
+	count := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		time.Sleep(2 * time.Millisecond)
+		fmt.Fprint(w, "done")
+	}))
+	t.Cleanup(server.Close)
+	return endpoints.Host{Host: name, Dial: server.Listener.Addr().String(), Site: "a", Class: "k", Health: endpoints.Ready,
+		Share: 1, Service: service}, count
+}
+
+// waitMore waits until so many more requests came.
+func waitMore(t *testing.T, what string, count *atomic.Int64, more int64) {
+	t.Helper()
+	want := count.Load() + more
+	for limit := time.Now().Add(30 * time.Second); count.Load() < want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%s: %d requests of %d", what, count.Load(), want)
+		}
+	}
+}
+
+// SIGHUP changes the services under load: the servers that are held go on serving until the list
+// of the new ones comes, and no request fails; also where the address changes at the same time,
+// and where the new file makes no sense.
+func TestServicesChangeUnderLoad(t *testing.T) {
+	a, ofA := countingServer(t, "s-a", "a")
+	b, ofB := countingServer(t, "s-b", "b")
+	x, ofX := countingServer(t, "s-x", "x")
+	hosts := []endpoints.Host{a, b, x}
+	first, second := startScopedSteward(t, hosts), startScopedSteward(t, hosts)
+	listen, path := freeAddr(t), filepath.Join(t.TempDir(), "config.json")
+	config := func(steward *scopedSteward, services string) string {
+		return fmt.Sprintf(`{"name":"n0","listen":%q,"stewards":[%q],"services":%s,"seed":"1f",
+ "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s}`, listen, steward.addr, services, settings)
+	}
+	cmd, out := childAt(t, path, config(first, `["a"]`))
+	reload := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitReady(t, listen, out)
+
+	var load sync.WaitGroup
+	var asked, failed atomic.Int64
+	end := make(chan struct{})
+	for range 4 {
+		load.Go(func() {
+			for {
+				select {
+				case <-end:
+					return
+				default:
+				}
+				asked.Add(1)
+				if status, err := askOnce(listen); status != http.StatusOK {
+					failed.Add(1)
+					t.Errorf("answered %d, %v", status, err)
+				}
+			}
+		})
+	}
+	waitMore(t, "service a", ofA, 20)
+	reload(config(first, `["b"]`))
+	first.hears(t, "follow=1&since=0&service=b")
+	waitMore(t, "service a, while the list of b is not there", ofA, 50)
+	if ofB.Load() > 0 {
+		t.Error("service b is asked before its list came")
+	}
+	close(first.hold)
+	waitMore(t, "service b", ofB, 50)
+	before := ofA.Load()
+	waitMore(t, "service b", ofB, 50)
+	if ofA.Load() > before {
+		t.Errorf("service a is asked %d times after it was left", ofA.Load()-before)
+	}
+	reload(config(second, `["b", "no word"]`)) // changes nothing
+	waitMore(t, "service b", ofB, 50)
+	reload(config(second, `["b", "a"]`))
+	second.hears(t, "follow=1&since=0&service=a&service=b")
+	waitMore(t, "service a again", ofA, 20)
+	waitMore(t, "service b still", ofB, 20)
+	close(end)
+	load.Wait()
+	close(second.hold)
+	if failed.Load() > 0 || ofX.Load() > 0 {
+		t.Errorf("%d of %d requests failed, %d reached a service that is not subscribed to", failed.Load(), asked.Load(), ofX.Load())
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("after SIGTERM: %v; it said %s", err, out)
+	}
+	if said := out.String(); strings.Count(said, "services[1]: must be") != 1 {
+		t.Errorf("said %s", said)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -337,6 +337,7 @@
 		return
 	}
 	l.scope.set(services, number)
+	l.log.Info("discovery: subscribed", "services", len(services), "subscription", number)
 }
 
 // resubscribe asks for the whole list of the same services again.
--- a/internal/endpoints/fake_test.go
+++ b/internal/endpoints/fake_test.go
@@ -268,7 +268,9 @@
 			order = append(order, p.addr)
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		watch := func() {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
 			for ctx.Err() == nil {
 				r.mu.Lock()
 				seq := r.seq
@@ -281,11 +283,11 @@
 					time.Sleep(time.Second)
 				}
 			}
-		}
-		go watch()
+		}()
 		synctest.Wait()
 		play(t, f, r, order)
 		cancel()
+		<-done
 		synctest.Wait()
 	})
 }
--- a/internal/endpoints/services_test.go
+++ b/internal/endpoints/services_test.go
@@ -146,6 +146,16 @@
 		if got := r.holds(); got != "a1 a2" || r.lists[len(r.lists)-1].Whole {
 			t.Errorf("holds %q, by %+v", got, r.lists[len(r.lists)-1])
 		}
+		// The reader stays where it is, also when another address is its first choice again.
+		time.Sleep(time.Minute)
+		f.mu.Lock()
+		f.at[order[0]].moved = make(chan struct{})
+		f.mu.Unlock()
+		r.reconfigure(t, order, []string{"b"})
+		synctest.Wait()
+		if got := f.asked(); got[len(got)-1] != order[1]+"?follow=1&since=0&service=b" || r.holds() != "b1" {
+			t.Errorf("asked %q, holds %q", got[len(got)-1], r.holds())
+		}
 	})
 }
 
@@ -300,6 +310,24 @@
 	})
 }
 
+// What the reader knows by another way than the watch counts as its version too.
+func TestNeverOlderThanTheReader(t *testing.T) {
+	playScoped(t, 1, []string{"a"}, []Host{server("a1", "a")}, func(t *testing.T, f *fakeFleet, r *fakeReader, order []string) {
+		if _, err := r.client.Subscribe([]string{"b"}, 500); err != nil {
+			t.Fatal(err)
+		}
+		r.number = 1
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if len(r.lists) != 1 || r.seq != 101 {
+			t.Errorf("took %+v", r.lists)
+		}
+		if _, err := r.client.Fetch(t.Context(), 0); !errors.Is(err, errOlder) {
+			t.Errorf("fetched: %v", err)
+		}
+	})
+}
+
 // A reader that wants a whole list and knows a later version than the list service ever had says
 // so, which makes the service raise its own; else the reader would take no list any more.
 func TestLaterVersionIsNamed(t *testing.T) {
@@ -404,7 +432,7 @@
 	})
 }
 
-// The way back from a list service to none that knows services, and from all servers to some.
+// A reader that gives up its services asks for the list of all, whole at first.
 func TestSubscribeToAll(t *testing.T) {
 	hosts := []Host{server("a1", "a"), server("b1", "b")}
 	playScoped(t, 2, []string{"a"}, hosts, func(t *testing.T, f *fakeFleet, r *fakeReader, order []string) {
@@ -447,21 +475,18 @@
 	}{
 		"a service of 5,000": {listOf(5000), false},
 		"39,000":             {listOf(39000), true},
-		"the bound":          {padded(maxList), false},
+		"the bound":          {padded(maxList), false}, // a watch's line has its end, too
 		"one byte more":      {padded(maxList + 1), true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client := NewClient(ClientConfig{Addresses: names(1), Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
-				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(c.text) + "\n")), Request: r}, nil
+				text := string(c.text)
+				if r.URL.RawQuery != "" {
+					text += "\n"
+				}
+				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(text)), Request: r}, nil
 			})})
 			_, err := client.Fetch(t.Context(), 0)
-			if name == "the bound" || name == "one byte more" {
-				// The line's end is one byte of its own.
-				client.http.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
-					return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(c.text))), Request: r}, nil
-				})
-				_, err = client.Fetch(t.Context(), 0)
-			}
 			if errors.Is(err, errLong) != c.long || !c.long && err != nil {
 				t.Errorf("fetched: %v", err)
 			}
@@ -470,7 +495,7 @@
 			}
 			heard := 0
 			err = client.Watch(context.Background(), 0, func(List) { heard++ })
-			if name == "39,000" && (!errors.Is(err, errLong) || heard > 0) || name == "a service of 5,000" && heard != 1 {
+			if long := len(c.text)+1 > maxList; errors.Is(err, errLong) != long || (heard == 0) != long {
 				t.Errorf("watched %d: %v", heard, err)
 			}
 		})
