--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -322,12 +322,15 @@
 }
 
 // askOnce sends one request on a connection of its own.
-func askOnce(listen string) (int, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
+func askOnce(listen string) (int, error) { return askFor(listen, "u1") }
+
+// askFor is askOnce for a key.
+func askFor(listen, key string) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+listen+"/order/"+key, strings.NewReader("x"))
 	if err != nil {
 		return 0, err
 	}
-	req.Header.Set("Request-Id", "1")
+	req.Header.Set("Request-Id", key)
 	req.Header.Set("Request-Timeout", "3000m")
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if err != nil {
--- a/cmd/molepaddle/services_test.go
+++ b/cmd/molepaddle/services_test.go
@@ -140,14 +140,19 @@
 					return
 				default:
 				}
-				asked.Add(1)
-				if status, err := askOnce(listen); status != http.StatusOK {
+				// The policy sends the requests of one key to one server while it has room.
+				if status, err := askFor(listen, fmt.Sprint("u", asked.Add(1))); status != http.StatusOK {
 					failed.Add(1)
 					t.Errorf("answered %d, %v", status, err)
 				}
 			}
 		})
 	}
+	endLoad := sync.OnceFunc(func() {
+		close(end)
+		load.Wait()
+	})
+	defer endLoad() // before the agent is killed, also where the test fails
 	waitMore(t, "service a", ofA, 20)
 	reload(config(first, `["b"]`))
 	first.hears(t, "follow=1&since=0&service=b")
@@ -168,8 +173,7 @@
 	second.hears(t, "follow=1&since=0&service=a&service=b")
 	waitMore(t, "service a again", ofA, 20)
 	waitMore(t, "service b still", ofB, 20)
-	close(end)
-	load.Wait()
+	endLoad()
 	close(second.hold)
 	if failed.Load() > 0 || ofX.Load() > 0 {
 		t.Errorf("%d of %d requests failed, %d reached a service that is not subscribed to", failed.Load(), asked.Load(), ofX.Load())
