Test that an answered claim leaves no address

Need: the mutant without it lived: the strike is forgotten once the same address serves. Change: the fake reader notes each address that is left. Measured: go test ./internal/endpoints; the mutant fails.

--- a/internal/endpoints/fake_test.go
+++ b/internal/endpoints/fake_test.go
@@ -194,8 +194,9 @@
 	seq    int64
 	held   map[string]Host
 	events []ServiceEvent
-	lists  []List // as they came
-	ended  int    // watches that ended with an error
+	lists  []List   // as they came
+	ended  int      // watches that ended with an error
+	left   []string // the addresses that were left, in order
 }
 
 func (r *fakeReader) take(l List) {
@@ -262,7 +263,12 @@
 			f.at[addr] = &fakeSteward{moved: make(chan struct{})}
 		}
 		r := &fakeReader{table: NewServiceTable(services), held: map[string]Host{}}
-		r.client = NewClient(ClientConfig{Addresses: names(n), Order: 7, Fleet: 10, NeverOlder: true, Services: services, Transport: f})
+		r.client = NewClient(ClientConfig{Addresses: names(n), Order: 7, Fleet: 10, NeverOlder: true, Services: services, Transport: f,
+			Failover: func(addr string, _ error) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.left = append(r.left, addr)
+			}})
 		var order []string
 		for _, p := range r.client.choose.places {
 			order = append(order, p.addr)
--- a/internal/endpoints/services_test.go
+++ b/internal/endpoints/services_test.go
@@ -131,7 +131,7 @@
 		if got := f.asked(); !slices.Equal(got, want) || time.Since(began) > 0 || r.client.Held() > 0 || r.ended > 0 {
 			t.Errorf("asked %q after %v, held %d, ended %d", got, time.Since(began), r.client.Held(), r.ended)
 		}
-		if p := r.client.choose.places[0]; p.strikes > 0 || p.avoid > 0 || p.busy > 0 || r.client.choose.budget.spent > 0 {
+		if p := r.client.choose.places[0]; len(r.left) > 0 || p.strikes > 0 || p.avoid > 0 || p.busy > 0 || r.client.choose.budget.spent > 0 {
 			t.Errorf("the change counts against %+v", p)
 		}
 		// The next call of this subscription goes on from its version.
@@ -297,8 +297,8 @@
 		if got := f.asked(); !slices.Equal(got, want) || r.holds() != "b1" || r.seq != 102 || r.ended > 0 {
 			t.Errorf("asked %q, holds %q of version %d", got, r.holds(), r.seq)
 		}
-		if p := r.client.choose.places[1]; p.strikes > 0 || p.avoid > 0 {
-			t.Errorf("the second address is avoided: %+v", p)
+		if !slices.Equal(r.left, order[:1]) {
+			t.Errorf("left %q", r.left)
 		}
 		for _, l := range r.lists {
 			if l.Seq != 102 || !l.Scoped {
