Readers of scale runs subscribe to services; one copy of the wire's names for them

Need: the scale runs have to show what an agent with 20 services costs, and the list service and its reader each had a copy of the parameter and header.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -329,7 +329,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	for _, key := range []string{"Content-Type", "Retry-After", "Not-Applied", scopeHeader} {
+	for _, key := range []string{"Content-Type", "Retry-After", "Not-Applied", endpoints.ScopeHeader} {
 		if v := resp.Header.Get(key); v != "" {
 			w.Header().Set(key, v)
 		}
--- a/internal/control/scope_test.go
+++ b/internal/control/scope_test.go
@@ -469,7 +469,7 @@
 	many := func(n int) string {
 		q := url.Values{}
 		for i := range n {
-			q.Add(serviceParameter, fmt.Sprint("s-", i))
+			q.Add(endpoints.ServiceParam, fmt.Sprint("s-", i))
 		}
 		return q.Encode()
 	}
@@ -479,11 +479,11 @@
 			t.Errorf("%q: %q, %v; want %q", query, got, err, want)
 		}
 	}
-	if got, err := parseServices(many(maxServices)); err != nil || len(got) != maxServices {
+	if got, err := parseServices(many(endpoints.MaxServices)); err != nil || len(got) != endpoints.MaxServices {
 		t.Errorf("%d services, %v", len(got), err)
 	}
 	for _, query := range []string{"service=a%20b", "service=a/b", "service=a&service=%0a", "service=" + strings.Repeat("x", endpoints.MaxWord+1),
-		"service=%zz", "service=a;service=b", many(maxServices + 1)} {
+		"service=%zz", "service=a;service=b", many(endpoints.MaxServices + 1)} {
 		got, err := parseServices(query)
 		if err == nil || !strings.HasPrefix(err.Error(), "service: ") || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%.80q: %q, %v", query, got, err)
--- a/internal/lab/hollow/agent.go
+++ b/internal/lab/hollow/agent.go
@@ -16,23 +16,20 @@
 // and failed, but not of their entries: it has no servers to choose from.
 type Agent struct {
 	process  *Agents
-	services []string // that it subscribes to; none: all
+	services []string // that it subscribes to; nil: all
 	client   *endpoints.Client
 
 	mu       sync.Mutex
 	balancer *policy.Balancer
 	actions  []policy.Action
 	table    map[string]endpoints.Host
+	scope    *endpoints.ServiceTable // as the real agent's; nil: it reads the whole list
 	version  int64
 	taken    time.Time // when the last list or change was taken
 	watching bool      // a watch is under way, at one address or the next
 	open     bool      // and has been served at the present address
 }
 
-// listSupportsServices tells whether readers can subscribe to services. It becomes true
-// with the line in clientConfig that passes them on.
-const listSupportsServices = false
-
 // clientConfig is the configuration of the agent's reader, as the real agent's.
 func (a *Agent) clientConfig(order uint64, transport http.RoundTripper) endpoints.ClientConfig {
 	return endpoints.ClientConfig{
@@ -42,7 +39,7 @@
 		NeverOlder: true,
 		Transport:  transport,
 		Failover:   func(string, error) { a.failedOver() },
-		// The subscription belongs here: Services: a.services.
+		Services:   a.services,
 	}
 }
 
@@ -66,6 +63,9 @@
 		return nil, err
 	}
 	a := &Agent{process: process, services: services, balancer: balancer, table: map[string]endpoints.Host{}}
+	if services != nil {
+		a.scope = endpoints.NewServiceTable(services)
+	}
 	a.client = endpoints.NewClient(a.clientConfig(seed, transport))
 	return a, nil
 }
@@ -151,6 +151,9 @@
 	if list.Seq > a.version {
 		a.process.counts.versions.Add(1)
 	}
+	if a.scope != nil {
+		list, _ = a.scope.Apply(list)
+	}
 	first := a.version == 0
 	a.version, a.taken = list.Seq, now
 	ages := a.learn(&list, now)
--- a/internal/lab/hollow/agents.go
+++ b/internal/lab/hollow/agents.go
@@ -121,7 +121,7 @@
 	p.meter = newMeter(&http.Transport{DisableKeepAlives: true, DisableCompression: true}, config.Sources)
 	for i := range config.Count {
 		index := config.First + i
-		agent, err := newAgent(p, index, p.subscription(index), p.meter)
+		agent, err := newAgent(p, index, DrawServices(config.Seed, index, config.Services, config.Subscribed), p.meter)
 		if err != nil {
 			return nil, err
 		}
@@ -137,19 +137,20 @@
 // ServiceName names the service with an index.
 func ServiceName(index int) string { return fmt.Sprintf("service-%04d", index) }
 
-// subscription draws the services of an agent from the seed; none is the whole list.
-func (p *Agents) subscription(index int) []string {
-	if p.config.Subscribed == 0 {
+// DrawServices draws the services that the reader with an index subscribes to, in order, from
+// the seed. It returns nil, the whole list, if subscribed is 0.
+func DrawServices(seed uint64, index, services, subscribed int) []string {
+	if subscribed == 0 {
 		return nil
 	}
-	random := rand.New(rand.NewPCG(p.config.Seed, uint64(index)))
-	drawn := random.Perm(p.config.Services)[:p.config.Subscribed]
+	random := rand.New(rand.NewPCG(seed, uint64(index)))
+	drawn := random.Perm(services)[:subscribed]
 	slices.Sort(drawn)
-	services := make([]string, len(drawn))
+	names := make([]string, len(drawn))
 	for i, service := range drawn {
-		services[i] = ServiceName(service)
+		names[i] = ServiceName(service)
 	}
-	return services
+	return names
 }
 
 // Run starts the agents and returns when the context has ended and all watches with it.
@@ -224,7 +225,7 @@
 
 // listed is how many servers an agent with the subscription should know.
 func (e *Expectation) listed(services []string, byService map[string]int) int {
-	if !listSupportsServices || len(services) == 0 {
+	if len(services) == 0 {
 		return e.Servers - e.Absent
 	}
 	total := 0
@@ -237,9 +238,6 @@
 // byService counts the servers that should be listed by service.
 func (e *Expectation) byService(services int) map[string]int {
 	counts := map[string]int{}
-	if !listSupportsServices {
-		return counts
-	}
 	for i := range e.Servers {
 		if i < e.FirstAbsent || i >= e.FirstAbsent+e.Absent {
 			counts[ServiceName(i%services)]++
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -347,7 +347,9 @@
 		"limits":   map[string]any{"cores": base.Agents.Cores, "memory_mb": base.Agents.MemoryMB, "sockets": base.Agents.Sockets},
 		"known":    endpoints.List{Whole: true, Hosts: []endpoints.Host{}},
 		"settings": settings,
-		// The agent's own subscription belongs here: "services", by its index.
+	}
+	if services := hollow.DrawServices(f.seed, index, f.size.Services, f.config.Scale.Subscribed); services != nil {
+		configuration["services"] = services
 	}
 	text, err := json.MarshalIndent(configuration, "", " ")
 	if err != nil {
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -25,8 +25,11 @@
 	roleReaders  = "readers" // all hollow agents
 )
 
-// linesSent is the steward's own count of changes that it wrote to watches.
-const linesSent = "steward_lines_sent_total"
+// Steward metrics that count the changes written to watches, by the kind of watch.
+const (
+	linesSent       = "steward_lines_sent_total"
+	scopedLinesSent = "steward_scoped_lines_sent_total"
+)
 
 // sample is all counts at one moment.
 type sample struct {
@@ -50,7 +53,7 @@
 	}
 	for i := range f.stewards {
 		if text, err := f.get(ctx, i, "/metrics"); err == nil {
-			s.lines[i] = metric(text, linesSent)
+			s.lines[i] = metric(text, linesSent) + metric(text, scopedLinesSent)
 		}
 	}
 	if leader := f.leader(ctx); leader >= 0 {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -105,7 +105,7 @@
 func (r *runner) playSize(ctx context.Context, size Size) error {
 	s := &r.config.Scale
 	asked := size.Watches
-	size.Watches = min(size.Watches, carried(s, size.Servers))
+	size.Watches = min(size.Watches, carried(s, size))
 	run := capacity.Run{Servers: size.Servers, Watches: size.Watches, Services: size.Services, Subscribed: s.Subscribed,
 		ChangesPerSecond: (s.ConfigurationsPerDay + s.RestartsPerDay) / secondsPerDay, Measurements: []capacity.Measurement{}}
 	name := fmt.Sprintf("%d servers, %d watches", size.Servers, size.Watches)
@@ -130,10 +130,17 @@
 	return nil
 }
 
-// carried is how many readers the memory carries, by what each holds of the whole list.
-func carried(s *Scale, servers int) int {
+// copiesHeld is how often a reader with a subscription holds an entry: in its table and, as a
+// real agent, in the one by service.
+const copiesHeld = 2
+
+// carried is how many readers the memory carries, by what each holds of the list.
+func carried(s *Scale, size Size) int {
 	const forReaders = 0.8 // the rest is for stewards and agents
-	known := float64(servers)
+	known := float64(size.Servers)
+	if s.Subscribed > 0 {
+		known *= copiesHeld * float64(s.Subscribed) / float64(size.Services)
+	}
 	bytes := forReaders * float64(s.MemoryMiB) * (1 << 20)
 	return max(int(math.Floor(bytes/(known*float64(s.EntryBytes)))), 1)
 }
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -55,12 +55,16 @@
 // Memory bounds the readers by what each holds of the list, never below one.
 func TestCarried(t *testing.T) {
 	s := &Scale{MemoryMiB: 1000, EntryBytes: 1 << 10}
-	if n := carried(s, 1024); n != 800 {
+	if n := carried(s, Size{Servers: 1024}); n != 800 {
 		t.Errorf("1000 MiB carry %d readers of 1 MiB", n)
 	}
-	if n := carried(s, 10<<20); n != 1 {
+	if n := carried(s, Size{Servers: 10 << 20}); n != 1 {
 		t.Errorf("a list beyond all memory leaves %d readers", n)
 	}
+	s.Subscribed = 1
+	if n := carried(s, Size{Servers: 1024, Services: 4}); n != 1600 {
+		t.Errorf("1000 MiB carry %d readers of a quarter of 1 MiB, held twice", n)
+	}
 }
 
 // A comparison shows the measurements of both results and the sizes that were not run.
