Play the mass failure also with a service for each server

The guard by service held what the fleet's guard should have: two mutants of the fleet's guard were not seen any more. With services too small for a share of their own both are seen.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -109,11 +109,16 @@
 // leases plays a fleet of which some fall silent at once, and tells who is listed after a
 // while and whether the guard holds.
 func leases(silent func(i int) bool, ticks int) (left int, s *State, l *Leases) {
+	return leasesOf(func(int) string { return "" }, silent, ticks)
+}
+
+// leasesOf plays a fleet in services.
+func leasesOf(service func(i int) string, silent func(i int) bool, ticks int) (left int, s *State, l *Leases) {
 	const n = 30
 	s = New()
 	c := LeaseConfig{TTL: 6 * time.Second, Share: 0.4, Window: 10 * time.Second}
 	for i := range n {
-		do(s, 0, Command{Kind: Register, Host: host(fmt.Sprintf("s-%02d", i), 1)})
+		do(s, 0, Command{Kind: Register, Host: hostOf(fmt.Sprintf("s-%02d", i), 1, service(i))})
 	}
 	l = Lead(c, s, 0)
 	for tick := range ticks {
@@ -141,10 +146,16 @@
 // One zone of three is let go; a loss of most of the fleet is not believed until an
 // operator confirms it, and is over when the servers are heard again.
 func TestMassFailure(t *testing.T) {
-	if left, s, _ := leases(func(i int) bool { return i%3 == 0 }, 60); left != 20 || s.HeldSince != 0 {
+	t.Run("one service", func(t *testing.T) { massFailure(t, func(int) string { return "" }) })
+	// The share of the fleet holds also those whose services are too small to have one.
+	t.Run("a service each", func(t *testing.T) { massFailure(t, func(i int) string { return fmt.Sprint("service-", i) }) })
+}
+
+func massFailure(t *testing.T, service func(i int) string) {
+	if left, s, _ := leasesOf(service, func(i int) bool { return i%3 == 0 }, 60); left != 20 || s.HeldSince != 0 {
 		t.Errorf("a zone of three lost: %d of 30 listed, held since %v", left, s.HeldSince)
 	}
-	left, s, l := leases(func(i int) bool { return i%10 != 0 }, 60)
+	left, s, l := leasesOf(service, func(i int) bool { return i%10 != 0 }, 60)
 	if left != 30 || s.HeldSince == 0 {
 		t.Fatalf("nine in ten silent: %d of 30 listed, held since %v", left, s.HeldSince)
 	}
