--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -663,7 +663,8 @@
 }
 
 func TestAddresses(t *testing.T) {
-	if addrOf("s-1") != addrOf("s-1") || addrOf("s-1") == addrOf("s-2") {
+	first, again, other := addrOf("s-1"), addrOf("s-1"), addrOf("s-2")
+	if first != again || first == other {
 		t.Fatal("an address must follow from the name alone")
 	}
 	if keyOf("u1") == keyOf("u2") || keyOf("") == 0 {
--- a/internal/agent/attempt_test.go
+++ b/internal/agent/attempt_test.go
@@ -111,7 +111,9 @@
 	defer a.cancel(nil)
 	first, second := &conn{}, &conn{}
 	a.conn.Store(first)
-	if !a.begin(first) || !a.begin(first) {
+	begun := a.begin(first)
+	begunAgain := a.begin(first)
+	if !begun || !begunAgain {
 		t.Fatal("the attempt's own connection was refused")
 	}
 	if a.begin(second) {
--- a/internal/lab/client/baseline.go
+++ b/internal/lab/client/baseline.go
@@ -49,9 +49,9 @@
 // baselineTries is how many servers it asks at most for one request.
 const baselineTries = 3
 
-func (b *Baseline) send(r *check.Request, head http.Header, deadline time.Time) reply {
+func (b *Baseline) send(r *check.Request, head http.Header, _ time.Time) reply {
 	class := &b.Load.Class[r.Class]
-	deadline = b.Epoch.Add(r.Expires) // it words the end itself by then
+	deadline := b.Epoch.Add(r.Expires) // it words the end itself by then
 	rep := reply{Answer: check.Answer{Kind: check.Refused, At: b.Clock(), Fresh: true}}
 	tried := map[string]bool{}
 	for range baselineTries {
