--- a/internal/control/fanout.go
+++ b/internal/control/fanout.go
@@ -30,7 +30,6 @@
 	h.encoded++
 	if l.Whole { // the state is another, or far ahead: no line leads there
 		h.lines, h.bytes = nil, 0
-		since = l.Seq
 		h.whole = line{to: l.Seq, text: text}
 	} else {
 		h.lines = append(h.lines, line{since, l.Seq, text})
