Have the claims test wait for its duties and sessions, as the other tests do

TestClaimsLinearizable set up its duties and sessions with one call each and ended at the first error. On a busy machine a leader loses its quorum's heartbeats in that moment, and answers "the leader changed: whether it was carried out is unknown", as it may.

Both calls can be repeated: they are until they are answered well, as crew.define does. The sessions are opened before any client starts, and the clients end when the test does. What the test judges is unchanged.

--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -640,23 +640,25 @@
 			f := newFleet(t, 3)
 			all := f.client(f.names...)
 			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
 			names := []string{"claim.a", "claim.b", "claim.c", "claim.d", "claim.e", "claim.f"}
 			for _, name := range names {
-				if err := all.Define(ctx, name, control.DutyBody{TTLMs: 600_000}); err != nil {
-					t.Fatal(err)
-				}
+				f.until(name+" is defined", func() bool { return all.Define(ctx, name, control.DutyBody{TTLMs: 600_000}) == nil })
+			}
+			processes, ids := []string{"p-0", "p-1", "p-2"}, []string{"id-0", "id-1", "id-2"}
+			for n, process := range processes {
+				// It has no room, so that nothing is granted to it but what it claims.
+				f.until(process+" has a session", func() bool {
+					return all.OpenSession(ctx, catalog.Session{Process: process, ID: ids[n]}) == nil
+				})
 			}
 			var mu sync.Mutex
 			var history []porcupine.Operation
 			kinds := map[string]int{}
 			began := time.Now()
 			var clients sync.WaitGroup
-			for n := range 3 {
-				process, id := fmt.Sprint("p-", n), fmt.Sprint("id-", n)
-				// It has no room, so that nothing is granted to it but what it claims.
-				if err := all.OpenSession(ctx, catalog.Session{Process: process, ID: id}); err != nil {
-					t.Fatal(err)
-				}
+			for n, process := range processes {
+				id := ids[n]
 				rng := rand.New(rand.NewPCG(uint64(seed), uint64(n)))
 				// again has one call in four come a second time, at another steward and behind or
 				// before what was said since: like one whose answer was lost, it may count or not.
