Renew the sessions of the claims test: it judged closed ones as held duties

TestClaimsLinearizable failed now and then (Illegal). Its model has duties and holders and no sessions, and a refused claim is legal only where another session holds the duty. The test never renewed its sessions. The leader closes one that holds nothing and was not heard for 3 s (sessionTTL in internal/catalog/tenure.go), after which a claim by it is refused as "unknown: no session", also of a free duty. On a busy machine the faults last longer than 3 s. From a failing history, in milliseconds, of one duty:

3069-3072 id-2 gives up: done 3085-3087 id-1 claims: refused, "unknown: no session of p-1 that takes duties" 3110-3113 id-0 claims: done

The sessions are now renewed, as a process does. The model is as it was. The check is stricter: sessions stay idle for 4 s first, longer than one that isn't renewed is kept, and a call refused for the end of a session fails the test by that name.

--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/signal"
@@ -630,8 +631,41 @@
 	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
 }
 
+const (
+	renewInterval = 200 * time.Millisecond
+	renewTimeout  = 500 * time.Millisecond
+	// beyondSession is longer than a session is kept that holds nothing and is not renewed.
+	beyondSession = 4 * time.Second
+)
+
+// renewSession renews a session at each steward until the context ends. A steward that hangs
+// delays only its own renewals; one that fails is made up for by the next.
+func (f *fleet) renewSession(ctx context.Context, process, id string) (wait func()) {
+	var renewers sync.WaitGroup
+	for _, name := range f.names {
+		client := control.NewClient([]string{f.all[name].http}, renewTimeout)
+		renewers.Add(1)
+		go func() {
+			defer renewers.Done()
+			tick := time.NewTicker(renewInterval)
+			defer tick.Stop()
+			for {
+				_, _ = client.RenewSession(ctx, process, id, 0)
+				select {
+				case <-tick.C:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+	return renewers.Wait
+}
+
 // Histories of claims, give-ups and reads by several sessions, through random faults of the
-// stewards, are such as one table of holders could have had.
+// stewards, are such as one table of holders could have had. That table has no sessions, so
+// they are renewed, and none may end: a claim that is refused for the end of its session is
+// refused a duty that may be free.
 func TestClaimsLinearizable(t *testing.T) {
 	for seed := range 5 {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -645,16 +679,23 @@
 			for _, name := range names {
 				f.until(name+" is defined", func() bool { return all.Define(ctx, name, control.DutyBody{TTLMs: 600_000}) == nil })
 			}
+			renewing, stopRenewing := context.WithCancel(context.Background())
+			defer stopRenewing()
 			processes, ids := []string{"p-0", "p-1", "p-2"}, []string{"id-0", "id-1", "id-2"}
 			for n, process := range processes {
 				// It has no room, so that nothing is granted to it but what it claims.
 				f.until(process+" has a session", func() bool {
 					return all.OpenSession(ctx, catalog.Session{Process: process, ID: ids[n]}) == nil
 				})
+				waitRenewers := f.renewSession(renewing, process, ids[n])
+				defer waitRenewers()
+				defer stopRenewing()
 			}
+			time.Sleep(beyondSession) // whatever is not renewed has been closed by now
 			var mu sync.Mutex
 			var history []porcupine.Operation
 			kinds := map[string]int{}
+			sessionsOver := 0 // calls that were refused as their session was over
 			began := time.Now()
 			var clients sync.WaitGroup
 			for n, process := range processes {
@@ -731,6 +772,9 @@
 						mu.Lock()
 						history = append(history, porcupine.Operation{ClientId: n, Input: in, Output: out, Call: int64(at), Return: ret})
 						kinds[fmt.Sprint(in.kind, out.ok)]++
+						if refused != nil && refused.Status == http.StatusNotFound {
+							sessionsOver++
+						}
 						mu.Unlock()
 						time.Sleep(time.Duration(5+rng.IntN(10)) * time.Millisecond)
 					}
@@ -745,6 +789,9 @@
 			if kinds["claimtrue"] < 10 || kinds["claimfalse"] < 10 || kinds["give uptrue"] < 5 || kinds["readtrue"] < 10 || kinds["again"] < 5 {
 				t.Errorf("too little was done to tell: %v", kinds)
 			}
+			if sessionsOver > 0 {
+				t.Errorf("%d calls were refused as their session was over, though it was renewed", sessionsOver)
+			}
 			sort.SliceStable(history, func(i, j int) bool { return history[i].Call < history[j].Call })
 			switch res, _ := porcupine.CheckOperationsVerbose(claims.ToModel(), history, soon); res {
 			case porcupine.Illegal:
