The tests' raw reader leaves a steward whose first list is older, as the real reader does

The logs show no quorum for over 5 s, the one steward that had the version stale and its watches sent elsewhere, and the other, two log entries behind, serving what it had, as it does where none is better (behind, serveList). That is as for the whole list, and it is the reader that never takes an older list (endpoints.Client, NeverOlder). The raw reader asserted more than is promised; it now leaves such a steward, and still fails on a watch whose later lines go back, and on any version that it would have to take back.

--- a/cmd/steward/scope_test.go
+++ b/cmd/steward/scope_test.go
@@ -89,13 +89,14 @@
 	if got := resp.Header.Get("Service-Scope"); got != strconv.Itoa(len(w.services)) {
 		w.fault("Service-Scope: %q", got)
 	}
-	for lines := bufio.NewReaderSize(resp.Body, 1<<16); ; {
+	lines := bufio.NewReaderSize(resp.Body, 1<<16)
+	for first := true; ; first = false {
 		line, err := lines.ReadBytes('\n')
 		if err != nil {
 			return
 		}
-		if len(line) > 1 {
-			w.take(line)
+		if len(line) > 1 && !w.take(line, first) {
+			return
 		}
 	}
 }
@@ -106,14 +107,20 @@
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
-func (w *scopedWatch) take(line []byte) {
+// take applies a line. Stewards without the quorum, none of which is better than the other,
+// serve what they have, and the reader's part is to leave one whose first list is older than
+// its own. Later lines of a watch must never go back.
+func (w *scopedWatch) take(line []byte, first bool) (goesOn bool) {
 	l, err := endpoints.Parse(line)
 	if err != nil {
 		w.fault("%.200q: %v", line, err)
-		return
+		return false
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if l.Seq < w.seq && first {
+		return false
+	}
 	if l.Seq < w.seq {
 		w.faults = append(w.faults, fmt.Sprintf("version %d after %d", l.Seq, w.seq))
 	}
@@ -131,6 +138,7 @@
 			delete(w.have, h.Host)
 		}
 	}
+	return true
 }
 
 // names is what the watch has, as name@service, in order.
