--- a/cmd/steward/duties_test.go
+++ b/cmd/steward/duties_test.go
@@ -692,6 +692,10 @@
 				defer stopRenewing()
 			}
 			time.Sleep(beyondSession) // whatever is not renewed has been closed by now
+			f.until("there is a leader, as at the set-up", func() bool {
+				_, err := all.Duty(ctx, names[0])
+				return err == nil
+			})
 			var mu sync.Mutex
 			var history []porcupine.Operation
 			kinds := map[string]int{}
