Raise the version for a reader only when the log does not lead to its version

Cause: a follower may apply a committed entry before a busy leader does. A reader that came from there with the later version was taken for one of another life of the service, as /v1/seen and a watch at the leader compared it with what the leader had applied (api.go). Change: the leader first applies all that is committed, by the barrier that consistent reads share, and raises its version only if it is still below the reader's.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -215,12 +215,14 @@
 
 // tellSeen tells the leader of a version that a reader has.
 func (n *Node) tellSeen(seq int64) {
+	ctx, cancel := context.WithTimeout(n.ctx, catchUp)
+	defer cancel()
 	if _, leads := n.elapsed(); leads {
-		n.raise(seq)
+		if err := n.raiseBeyond(ctx, seq); err != nil {
+			n.log.Debug("whether a reader's version is later is unknown", "err", err)
+		}
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, catchUp)
-	defer cancel()
 	if p, ok := (*n.table.Load())[n.leader()]; ok {
 		if err := call(ctx, n.peers, http.MethodPost, "http://"+p.HTTP+"/v1/seen", seenBody{seq}, nil); err != nil {
 			n.log.Debug("the leader was not told what a reader has", "err", err)
@@ -232,6 +234,23 @@
 	Seq int64 `json:"seq"`
 }
 
+// raiseBeyond raises the version beyond what a reader has, if the log doesn't lead there. A
+// steward may have applied entries that this leader has committed and not applied yet, so all that
+// is committed is applied first: a raise drops the history, and every reader would be sent the
+// whole list for nothing.
+func (n *Node) raiseBeyond(ctx context.Context, seen int64) error {
+	if n.fsm.seq() >= seen {
+		return nil
+	}
+	if err := n.barrier(ctx); err != nil {
+		return err
+	}
+	if n.fsm.seq() < seen {
+		n.raise(seen)
+	}
+	return nil
+}
+
 // seen raises the version beyond what a reader has, if the leader has not been there.
 func (n *Node) seen(w http.ResponseWriter, r *http.Request) error {
 	var b seenBody
@@ -241,8 +260,8 @@
 	if b.Seq > n.c.Now().UnixMicro()+dayOfVersions || b.Seq < 0 {
 		return bad("seq: no version that a reader can have")
 	}
-	if n.fsm.seq() < b.Seq {
-		n.raise(b.Seq)
+	if err := n.raiseBeyond(r.Context(), b.Seq); err != nil {
+		return err
 	}
 	answer(w, seenBody{n.fsm.seq()})
 	return nil
