--- a/internal/lab/capacity/series.go
+++ b/internal/lab/capacity/series.go
@@ -115,6 +115,24 @@
 	return series
 }
 
+// minServedShare is the share of calls that an agent has to serve for its figures to be the cost
+// of a call: a refused call costs little.
+const minServedShare = 0.99
+
+// servedCalls tells whether an agent served its calls under a load. Other roles, and loads
+// without a share, always count.
+func (r *Run) servedCalls(role, load string) bool {
+	if role != "agent" {
+		return true
+	}
+	for _, m := range r.Measurements {
+		if m.Role == role && m.Load == load && m.Metric == "served_share" {
+			return m.Value >= minServedShare
+		}
+	}
+	return true
+}
+
 // points returns what was measured for a key, and the most watches that were open then.
 func (r *Results) points(key Key) (points []Point, watches int) {
 	for _, run := range r.Runs {
@@ -125,6 +143,9 @@
 		if key.Variable == Watches {
 			size = float64(run.Watches)
 		}
+		if !run.servedCalls(key.Role, key.Load) {
+			continue
+		}
 		for _, m := range run.Measurements {
 			if m.Role == key.Role && m.Load == key.Load && m.Metric == key.Metric {
 				points = append(points, Point{Size: size, Value: m.Value})
--- a/internal/lab/capacity/tables_test.go
+++ b/internal/lab/capacity/tables_test.go
@@ -236,3 +236,22 @@
 	}
 	wantIn(t, line(t, text(t, target(t), nil, "order"), "Agent, control: bytes in/s, limit"), "| unknown |")
 }
+
+// An agent that refuses calls spends little on them: that is no point of the cost's line.
+func TestRefusedCallsAreNoCost(t *testing.T) {
+	served, refused := Run{Servers: 20}, Run{Servers: 2000}
+	for run, share := range map[*Run]float64{&served: 1, &refused: 0.5} {
+		run.Add("agent", "115 calls/s", "served_share", share)
+		run.Add("agent", "115 calls/s", "cpu_ms_per_call", 0.5)
+		run.Add("requests", "115 calls/s", "p99_ms", 7)
+	}
+	data := dataset(&Results{Experiment: "agent-cost", Runs: []Run{served, refused}})
+	key := Key{Experiment: "agent-cost", Role: "agent", Load: "115 calls/s", Metric: "cpu_ms_per_call", Variable: Servers}
+	if points := data.Series(key).Points; len(points) != 1 || points[0].Size != 20 {
+		t.Errorf("points are %v, want the one of 20 servers", points)
+	}
+	key.Role, key.Metric = "requests", "p99_ms"
+	if points := data.Series(key).Points; len(points) != 2 {
+		t.Errorf("points of another role are %v, want both", points)
+	}
+}
