--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -176,16 +176,19 @@
 }
 
 // Load reads an experiment file. Its error is one line that names the key.
-func Load(path string) (*Config, error) {
+func Load(path string) (*Config, error) { return LoadFile(path, Parse) }
+
+// LoadFile reads a file and parses its text. Its error names the file.
+func LoadFile[T any](path string, parse func(text []byte) (*T, error)) (*T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
-	c, err := Parse(text)
+	config, err := parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return c, nil
+	return config, nil
 }
 
 // Parse reads an experiment's text over the defaults.
--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -15,6 +15,7 @@
 	"github.com/knadh/koanf/providers/rawbytes"
 	"github.com/knadh/koanf/v2"
 
+	"molepaddle/internal/lab/experiment"
 	"molepaddle/internal/lab/hollow"
 )
 
@@ -115,17 +116,7 @@
 }
 
 // Load reads an experiment file. Its error is one line that names the key.
-func Load(path string) (*Config, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("experiment: %w", err)
-	}
-	c, err := Parse(text)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
-}
+func Load(path string) (*Config, error) { return experiment.LoadFile(path, Parse) }
 
 // Parse reads an experiment's text over the defaults.
 func Parse(text []byte) (*Config, error) {
