Log why attempts, answers, connections and watches end, with spans and list versions

Change: one typed enumeration of reasons; at debug level each attempt with its first byte, each answer, each connection that the agent closes; at info each server whose health changes, in the room for lines on discovery; a watch that ends says its version, lists, span, and how many bytes of an unfinished list had come. Result: go test ./internal/agent ./internal/endpoints passes; no behaviour changes.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -29,6 +29,7 @@
 	errGone      = errors.New("nobody waits for the answer")
 	errEarly     = errors.New("an answer to a request that has not gone out whole")
 	errLate      = errors.New("too late for a repeat to be known as one")
+	errNoLength  = errors.New("an answer without a length can't be known to be whole")
 )
 
 // backend is one listed server and the connections to it. The loop owns it; the
@@ -159,6 +160,8 @@
 	conn   atomic.Pointer[conn] // the one that it may be written to
 	cut    atomic.Bool          // a write failed: the request did not go out whole
 	whole  atomic.Bool          // its body was taken to the last byte
+	// firstByte is how long after its start its first byte was let out, in ns; 0: none was.
+	firstByte atomic.Int64
 }
 
 // begin is asked before each write. It lets an attempt out on one connection only,
@@ -177,7 +180,11 @@
 		a.withdraw()
 		return false
 	}
-	return c.framing.begin() && a.stage.CompareAndSwap(waiting, sending)
+	if !c.framing.begin() || !a.stage.CompareAndSwap(waiting, sending) {
+		return false
+	}
+	a.firstByte.Store(max(int64(time.Since(a.started)), 1))
+	return true
 }
 
 // late tells whether the time is over in which it may go out.
@@ -202,6 +209,7 @@
 	body   []byte
 	kind   string // the answer's Content-Type
 	load   string // the answer's load report
+	err    error  // why no whole answer came; nil: one did
 }
 
 // run sends the attempt and waits for its end. When it returns, the connection is
@@ -216,7 +224,7 @@
 	}
 	res, err := a.roundTrip()
 	if err != nil {
-		res.status = a.ending(err)
+		res.status, res.err = a.ending(err), err
 		if c := a.conn.Load(); c != nil {
 			c.Close()
 		}
@@ -236,7 +244,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return res, errors.New("an answer without a length can't be known to be whole")
+		return res, errNoLength
 	}
 	res.load = resp.Header.Get("Server-Load")
 	if resp.StatusCode == http.StatusOK && !a.whole.Load() {
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -41,6 +42,7 @@
 	conns    map[*clientConn]struct{}
 	freed    chan struct{} // told of a place; holds one word
 	draining bool
+	log      *slog.Logger // nil: none
 }
 
 func newClients(most int) *clients {
@@ -82,6 +84,14 @@
 	}
 }
 
+// trace writes a line on a connection that the agent closes.
+func (cs *clients) trace(c *clientConn, why reason) {
+	if cs.log != nil {
+		cs.log.Debug("client connection closed", "connection", c.RemoteAddr(), "reason", why,
+			"stage", int(c.stage), "in_stage", time.Since(c.since))
+	}
+}
+
 // evict closes the connection that has stood idle for longest, or else the slowest one. It
 // owes no answer, and the client has long read its last one.
 func (cs *clients) evict(now time.Time) {
@@ -96,6 +106,11 @@
 		}
 	}
 	if out != nil {
+		why := reasonIdleEvicted
+		if out.stage == reading {
+			why = reasonSlowEvicted
+		}
+		cs.trace(out, why)
 		out.stage = closing
 		out.Conn.Close()
 		delete(cs.conns, out)
@@ -133,6 +148,7 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.conns {
+		cs.trace(c, reasonShutdown)
 		c.stage = closing
 		c.Conn.Close()
 	}
@@ -336,6 +352,7 @@
 // halfClose ends the agent's side of a connection at rest; who reads from it lingers.
 func (c *clientConn) halfClose() {
 	if c.stage == resting {
+		c.all.trace(c, reasonShutdown)
 		c.stage = closing
 		c.endWrite()
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -115,6 +115,7 @@
 	nextID   policy.RequestID
 	seq      int64
 	watching bool
+	watched  watchTrace
 	fetching bool
 	actions  []policy.Action
 	ready    atomic.Bool // a backend can be sent to
@@ -245,6 +246,7 @@
 			l.take(policy.ListFull, &in.list)
 		}
 	case inWatched:
+		l.watched.lists++
 		switch {
 		case in.list.Whole && (l.lists == nil || in.list.Seq >= l.seq):
 			l.take(policy.ListFull, &in.list)
@@ -255,7 +257,7 @@
 		}
 	case inWatchEnded:
 		l.watching = false
-		l.warn("discovery: watch ended", "err", in.err)
+		l.warn("discovery: watch ended", l.watched.ended(in.err, l.seq)...)
 		l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 	case inFailover:
 		l.warn("discovery: asked elsewhere", "left", in.addr, "err", in.err)
@@ -359,7 +361,7 @@
 // follow opens the watch, if there is none.
 func (l *loop) follow() {
 	if !l.watching {
-		l.watching = true
+		l.watching, l.watched = true, watchTrace{opened: time.Now()}
 		go l.disc.watch(l.discCtx, l.seq)
 	}
 }
@@ -385,6 +387,7 @@
 func (l *loop) onOutcome(a *attempt, res *result) {
 	r, b := a.req, a.backend
 	l.leave(a)
+	l.traceAttempt(a, res)
 	r.open--
 	if res.status == policy.OK {
 		l.answer(r, answer{status: policy.OK, body: res.body, kind: res.kind})
@@ -425,6 +428,7 @@
 	if !r.answered {
 		r.answered = true
 		r.answers <- a
+		l.traceAnswer(r, a.status)
 	}
 }
 
@@ -573,7 +577,10 @@
 			}
 			b.dial, b.bornMs, b.transport = h.Dial, h.BornMs, l.dialer.newTransport()
 		}
-		b.usable = entries[i].Health == policy.Ready
+		if usable := entries[i].Health == policy.Ready; usable != b.usable {
+			b.usable = usable
+			l.traceHealth(h, list.Seq)
+		}
 	}
 	for addr, b := range l.backends {
 		if kind != policy.ListDelta && !named[addr] {
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -78,6 +78,7 @@
 	}
 	a := &Agent{loop: l, conf: c, log: log, stop: stop,
 		clients: newClients(clientSockets(c.Limits.Sockets))}
+	a.clients.log = log
 	a.server = &http.Server{
 		Handler:           a,
 		ReadHeaderTimeout: headWait,
@@ -218,6 +219,7 @@
 	case <-guard.C:
 		answered = true
 		r.settled.Store(true)
+		a.log.Debug("request answered", "request_id", r.wireID, "reason", reasonDeadline)
 		a.write(w, http.StatusGatewayTimeout, "", nil)
 		a.loop.post(input{kind: inDropped, req: r})
 		return
@@ -225,6 +227,7 @@
 	// The client has gone. Whatever is written now could still be read as an answer by one
 	// that has only ended its sending.
 	r.settled.Store(true)
+	a.log.Debug("request dropped", "request_id", r.wireID, "reason", reasonClientLeft)
 	a.loop.post(input{kind: inDropped, req: r})
 	panic(http.ErrAbortHandler)
 }
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"errors"
@@ -201,6 +202,9 @@
 		defer dead.Stop()
 		err := c.follow(ctx, addr, &asked, &since, func() { dead.Reset(c.c.Silence) }, heard)
 		if cause := context.Cause(ctx); cause != nil && !errors.Is(err, errOlder) {
+			if cut := new(IncompleteError); errors.As(err, &cut) {
+				return &IncompleteError{Pending: cut.Pending, Age: cut.Age, Err: cause}
+			}
 			err = cause
 		}
 		return err
@@ -272,12 +276,27 @@
 	switch err := lines.Err(); {
 	case errors.Is(err, bufio.ErrTooLong):
 		return errLong
+	case len(o.text) > 0:
+		return &IncompleteError{Pending: len(o.text), Age: time.Since(o.since), Err: cmp.Or(err, errEnded)}
 	case err != nil:
 		return err
 	}
 	return errEnded
 }
 
+// IncompleteError reports that an answer ended in the midst of a list.
+type IncompleteError struct {
+	Pending int           // bytes of the list that had come
+	Age     time.Duration // since the first of them
+	Err     error         // why the answer ended
+}
+
+func (e *IncompleteError) Error() string {
+	return fmt.Sprintf("%d bytes into a list: %v", e.Pending, e.Err)
+}
+
+func (e *IncompleteError) Unwrap() error { return e.Err }
+
 // took notes that a watch gave a list. On an error the list has to be dropped.
 func (c *Client) took(addr string, asked *subscription, l *List) error {
 	c.mu.Lock()
@@ -302,8 +321,9 @@
 // object gathers the lines of one JSON object, which may be written indented.
 type object struct {
 	text   []byte
-	depth  int  // of braces and brackets
-	quoted bool // in a string
+	since  time.Time // when its first line came
+	depth  int       // of braces and brackets
+	quoted bool      // in a string
 }
 
 // add takes the next line and tells whether the object is whole with it. An empty line
@@ -313,6 +333,9 @@
 	if len(o.text)+len(line) > maxList {
 		return false, errLong
 	}
+	if len(o.text) == 0 {
+		o.since = time.Now()
+	}
 	o.text = append(o.text, line...)
 	for i := 0; i < len(line); i++ {
 		switch b := line[i]; {
