--- /dev/null
+++ b/cmd/molepaddle/answers_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// rawServer hands each request that comes to serve, with its connection, which is closed when
+// serve returns.
+func rawServer(t *testing.T, serve func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err == nil {
+					serve(c.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// askBody sends one request and returns its answer's status and body.
+func askBody(listen, timeout string) (int, string, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Request-Id", "u1")
+	req.Header.Set("Request-Timeout", timeout)
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// An answer without a length ends with the connection: it is whole when the server closes, and
+// never when the connection is reset or stays open.
+func TestAnswerEndsWithItsConnection(t *testing.T) {
+	long := strings.Repeat("x", 64<<10)
+	const head = "HTTP/1.1 200 OK\r\n"
+	write := func(texts ...string) func(c *net.TCPConn, r *http.Request) {
+		return func(c *net.TCPConn, _ *http.Request) {
+			for i, text := range texts {
+				if i > 0 {
+					time.Sleep(50 * time.Millisecond)
+				}
+				_, _ = io.WriteString(c, text)
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		serve  func(c *net.TCPConn, r *http.Request)
+		served string // the body that the client gets with status 200; "": the answer fails
+	}{
+		"closed":             {write(head + "\r\ndone"), "done"},
+		"closed, said so":    {write(head + "Connection: close\r\n\r\ndone"), "done"},
+		"HTTP/1.0":           {write("HTTP/1.0 200 OK\r\n\r\ndone"), "done"},
+		"in pieces":          {write(head+"\r\nd", "on", "e"), "done"},
+		"close comes later":  {write(head+"\r\ndone", ""), "done"},
+		"64 KiB":             {write(head + "\r\n" + long), long},
+		"over 64 KiB":        {write(head + "\r\n" + long + "x"), ""},
+		"half a head":        {write(head + "Content-Ty"), ""},
+		"cut, with a length": {write(head + "Content-Length: 9\r\n\r\ndone"), ""},
+		"cut, in chunks":     {write(head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n"), ""},
+		"reset": {func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"\r\ndone")
+			time.Sleep(50 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}, ""},
+		"reset at once": {func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"\r\ndone")
+			_ = c.SetLinger(0)
+		}, ""},
+		"never closed": {func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"\r\ndone")
+			time.Sleep(3 * time.Second)
+		}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddr(t)
+			_, out := child(t, programConfig(listen, "127.0.0.1:1", rawServer(t, c.serve), 1024))
+			waitReady(t, listen, out)
+			began := time.Now()
+			status, body, err := askBody(listen, "1500m")
+			took := time.Since(began)
+			if got := status == http.StatusOK; got != (c.served != "") || got && (err != nil || body != c.served) {
+				t.Errorf("answered %d with %d bytes, %v, after %v; it said %s", status, len(body), err, took, out)
+			}
+			if err != nil || took > 1600*time.Millisecond {
+				t.Errorf("no final answer in time: %v after %v", err, took)
+			}
+		})
+	}
+}
+
+// A server that turns a request away without a length and keeps the connection open holds up
+// neither the request nor its next attempt.
+func TestRefusalWithoutALength(t *testing.T) {
+	turnsAway := rawServer(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nNot-Started: 1\r\n\r\n")
+		time.Sleep(3 * time.Second)
+	})
+	listen := freeAddr(t)
+	_, out := child(t, programConfig(listen, "127.0.0.1:1", turnsAway, 1024))
+	waitReady(t, listen, out)
+	began := time.Now()
+	status, err := askFor(listen, "u1", "2000m")
+	if took := time.Since(began); err != nil || status != http.StatusServiceUnavailable || took > time.Second {
+		t.Errorf("answered %d, %v, after %v; it said %s", status, err, took, fmt.Sprint(out))
+	}
+}
--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,17 +25,35 @@
 	os.Exit(m.Run())
 }
 
+// output is what a child says. It can be read while the child runs.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
 const settings = `{"classes":[{"name":"order","aimMs":500,"giveUpMs":1000,"credit":1,"effect":"single_shot"}],
  "membershipMode":"on_request","limits":{"maxAttempts":3,"connectTimeoutMs":150,"keepaliveMs":30000,"maxRetryAfterMs":600},
  "contract":{"answerSlackMs":20,"askWithinMs":10000,"coldFrom":0.3,"coldMs":8000,"drainGraceMs":250,"fallMultiple":2.5,"tipAfterMs":1000},
  "replicasOfMe":1,"roundMs":5,"weights":"nominal","failureDomains":["a"],"shapes":["k"]}`
 
-func child(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+func child(t *testing.T, config string) (*exec.Cmd, *output) {
 	t.Helper()
 	return childAt(t, filepath.Join(t.TempDir(), "config.json"), config)
 }
 
-func childAt(t *testing.T, path, config string) (*exec.Cmd, *bytes.Buffer) {
+func childAt(t *testing.T, path, config string) (*exec.Cmd, *output) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
@@ -43,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd, out := exec.Command(exe), &bytes.Buffer{}
+	cmd, out := exec.Command(exe), &output{}
 	cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path)
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
@@ -64,7 +83,7 @@
 }
 
 // waitReady waits until the program can serve.
-func waitReady(t *testing.T, listen string, out *bytes.Buffer) {
+func waitReady(t *testing.T, listen string, out *output) {
 	t.Helper()
 	for tries := 0; ; tries++ {
 		resp, err := http.Get("http://" + listen + "/ready")
@@ -255,7 +274,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd, out := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", files, exe)), &bytes.Buffer{}
+	cmd, out := exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", files, exe)), &output{}
 	cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+path)
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
