Pass on an answer that ends with its connection; wait for no such body of a refusal

The protocol has a sign: the server's close ends it, a reset doesn't, and net/http tells them apart. Related: a 503 or 500 of that kind was read to the end of its connection, so that a server which kept it open held the request until its deadline. Change: readAnswer.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -29,7 +29,7 @@
 	errGone      = errors.New("nobody waits for the answer")
 	errEarly     = errors.New("an answer to a request that has not gone out whole")
 	errLate      = errors.New("too late for a repeat to be known as one")
-	errNoLength  = errors.New("an answer without a length can't be known to be whole")
+	errUnread    = errors.New("a body that ends with the connection was not waited for")
 )
 
 // backend is one listed server and the connections to it. The loop owns it; the
@@ -243,14 +243,11 @@
 		return res, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusOK && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return res, errNoLength
-	}
 	res.load = resp.Header.Get("Server-Load")
 	if resp.StatusCode == http.StatusOK && !a.whole.Load() {
 		return res, errEarly
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	body, err := readAnswer(resp)
 	if err != nil && resp.StatusCode == http.StatusOK {
 		return res, fmt.Errorf("answer: %w", err)
 	}
@@ -272,6 +269,18 @@
 	return res, nil
 }
 
+// readAnswer reads an answer's body, one byte more than there may be at the most. A body without a
+// length ends with the connection: a server that closes it has sent all, and a reset is an error
+// (PROTOCOL, "Agents to programme servers"). Of an answer that is not passed on such a body is not
+// waited for.
+func readAnswer(resp *http.Response) ([]byte, error) {
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if untilClose && resp.StatusCode != http.StatusOK {
+		return nil, errUnread
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+}
+
 // outgoing is the request as the backend gets it. The transport sends a request
 // again by itself, unasked, if it has no body or can get it anew; so it always has
 // a body here, one that can't be had twice.
--- a/internal/agent/trace.go
+++ b/internal/agent/trace.go
@@ -28,7 +28,6 @@
 	reasonDrained        reason = "drained"         // the server drains or is gone
 	reasonWindowOver     reason = "window_over"     // too late for a repeat to be known as one
 	reasonNoSocket       reason = "no_socket"       // no descriptor left
-	reasonNoLength       reason = "no_length"       // the end of an answer can't be known
 	reasonSurplus        reason = "surplus"         // bytes behind an answer
 	reasonEarlyAnswer    reason = "early_answer"    // an answer to a request that was not out whole
 	reasonTransportError reason = "transport_error" // anything that a socket said
@@ -42,7 +41,7 @@
 		why reason
 	}{
 		{errGone, reasonClientLeft}, {errCancelled, reasonCancelled}, {errDrained, reasonDrained},
-		{errLate, reasonWindowOver}, {errSockets, reasonNoSocket}, {errNoLength, reasonNoLength},
+		{errLate, reasonWindowOver}, {errSockets, reasonNoSocket},
 		{errSurplus, reasonSurplus}, {errEarly, reasonEarlyAnswer}, {context.DeadlineExceeded, reasonDeadline},
 	} {
 		if errors.Is(cause, known.err) || errors.Is(err, known.err) {
