Ask for a watch that was served and ended again within 200 ms

Cause: followAgain let 0.5 to 1 s pass after the end of a watch, also of one that had been served, and discovery takes calls in turn, up to 2 s. Change: the first call after a served one waits up to 0.2 s, and calls stay 0.5 to 1 s apart from begin to begin.

--- a/policy/list.go
+++ b/policy/list.go
@@ -22,6 +22,10 @@
 	askAgain = 4000.0
 	// leastWait keeps some time between calls that take long to fail.
 	leastWait = 200.0
+	// servedWait bounds the wait after a subscription that was served ended, in ms: what it
+	// ended instead of telling counts as told 2 s later, and discovery may hold the next call
+	// for nearly all of that (issue 26).
+	servedWait = 200.0
 	// firstWithin bounds the time until a new process asks for the first time: its list may
 	// be old.
 	firstWithin = 3500.0
@@ -55,13 +59,18 @@
 }
 
 // followAgain sets the time for the next call after one failed, or a subscription ended.
-// A call that was given up late is repeated the sooner.
+// A call that was given up late is repeated the sooner, and one that had been served at once.
 func (b *Balancer) followAgain() {
 	b.follows++
 	if b.follows == 1 {
 		b.following = false // the time of the first call is of no use any more
 	}
 	ask, u := b.set.Contract.AskWithinMs/5, b.rng.Float64()
+	if b.followed && b.follows == 1 {
+		apart := min(1000, ask)*(1+u)/2 - (b.now - b.followAt) // from call to call
+		b.followIn(max(apart, min(servedWait, ask)*u))
+		return
+	}
 	wait := min(1000, ask) * (1 + u) / 2
 	if b.follows > 1 { // the first may have been the agent's own bad luck
 		ask *= min(b.askers(), 5)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -882,6 +882,38 @@
 	}
 }
 
+// A subscription that was served and ended is asked for again within 200 ms, as what it missed
+// counts as told 2 s later, unless it was asked for less than half a second ago.
+func TestServedSubscriptionIsAskedAgain(t *testing.T) {
+	for _, c := range []struct {
+		lasted, least, most float64 // ms
+	}{
+		{0, 500, 1000}, // never served twice within half a second
+		{300, 200, 700},
+		{1000, 0, servedWait},
+		{60000, 0, servedWait},
+	} {
+		for seed := range uint64(50) {
+			set := testSettings()
+			set.Membership, set.Contract.AskWithinMs = "on_request", 10000
+			b, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := find(b.Start(0, nil), ActTimer).Ms
+			if find(b.Handle(now, &Event{Kind: EvTimer, Token: followToken}, nil), ActFollow) == nil {
+				t.Fatal("did not ask")
+			}
+			b.Handle(now, &Event{Kind: EvList, List: ListDelta}, nil)
+			now += c.lasted
+			wait := find(b.Handle(now, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer).Ms
+			if wait < c.least || wait > c.most {
+				t.Fatalf("seed %d: served for %.0f ms, asked again after %.0f, want %.0f to %.0f", seed, c.lasted, wait, c.least, c.most)
+			}
+		}
+	}
+}
+
 // Whatever calls failed before, and however long each took to fail, the next one begins
 // within 4 s of the last one's begin: what discovery has to tell counts as told 6 s after
 // it could be reached. All agents' calls together stay few.
