Take what has come of a list that is cut or stalls; hold back servers it leaves open

Cause: a change counts as notified when discovery writes it, and the reader took a list only with the end of its line: one that was cut, stalled or whose line ended late was not taken at all, and the next call came 0.5 to 1 s later, behind a queue (class: a promise that runs from the sender's write, kept from the receiver's whole message). Change: endpoints.stream ends a list with its last brace and reports a part that is unfinished for 100 ms or cut; its entries are applied, the version stays. policy/unconfirmed.go holds servers back that such a part doesn't name as ready, from half the grace on, until a whole answer comes or 10 s have passed, withdraws what has not gone out, and asks again within 200 ms. A fetch that fails beside an open watch is no failure of the watch.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -53,6 +53,7 @@
 		post(in)
 	}
 	c.Failover = func(addr string, err error) { d.post(input{kind: inFailover, addr: addr, err: err}) }
+	c.Part = func(l endpoints.List) { d.post(input{kind: inPart, list: l}) }
 	d.client = endpoints.NewClient(c)
 	return d
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -32,6 +32,7 @@
 	inMoved                    // addrs: where discovery is from now on, names: the services asked for
 	inLeaving                  // the agent is about to end
 	inFailover                 // addr: where it is not asked any more, err
+	inPart                     // list: what has come of one that is not whole
 )
 
 // input is one thing that happened, on its way to the loop.
@@ -241,7 +242,9 @@
 		switch {
 		case in.err != nil:
 			l.warn("discovery: fetch failed", "err", in.err)
-			l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+			if !l.watching { // a watch that is open tells as much, and its end is told by itself
+				l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+			}
 		case in.list.Seq >= l.seq: // the watch may have told more meanwhile
 			l.take(policy.ListFull, &in.list)
 		}
@@ -255,6 +258,8 @@
 		case l.scope.lacks(&in.list):
 			l.resubscribe()
 		}
+	case inPart:
+		l.takePart(&in.list)
 	case inWatchEnded:
 		l.watching = false
 		l.warn("discovery: watch ended", l.watched.ended(in.err, l.seq)...)
@@ -326,7 +331,7 @@
 		}
 	}
 	// Nothing failed there yet: calls that fail from now on are repeated as the first ones.
-	l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListDelta})
+	l.tell(&policy.Event{Kind: policy.EvList, List: policy.ListMoved})
 	l.follow()
 }
 
@@ -358,6 +363,22 @@
 	l.learn(kind, &scoped)
 }
 
+// takePart takes what has come of a list that isn't whole: the entries of servers that are known.
+// A new server has time until the list is whole.
+func (l *loop) takePart(list *endpoints.List) {
+	if list.Subscription != l.scope.number || list.Seq != 0 && list.Seq <= l.seq {
+		return // of the services before, or nothing new
+	}
+	known := endpoints.List{Seq: l.seq}
+	for _, h := range list.Hosts {
+		if l.backends[addrOf(h.Host)] != nil {
+			known.Hosts = append(known.Hosts, h)
+		}
+	}
+	l.warn("discovery: part of a list", "reason", reasonListIncomplete, "list_version", list.Seq, "entries", len(list.Hosts), "age", list.Age)
+	l.learnPart(&known, list.Age)
+}
+
 // follow opens the watch, if there is none.
 func (l *loop) follow() {
 	if !l.watching {
@@ -488,6 +509,10 @@
 			if b := l.backends[act.Server]; b != nil {
 				b.transport.CloseIdleConnections()
 			}
+		case policy.ActWithdraw:
+			if b := l.backends[act.Server]; b != nil {
+				b.withdraw()
+			}
 		case policy.ActLog:
 			l.log.Info(act.Text)
 		}
@@ -554,36 +579,27 @@
 func (l *loop) learn(kind policy.ListKind, list *endpoints.List) {
 	l.seq = list.Seq
 	l.log.Debug("list taken", "version", list.Seq, "entries", len(list.Hosts))
-	entries := make([]policy.Entry, len(list.Hosts))
+	l.apply(&policy.Event{Kind: policy.EvList, List: kind}, list)
+}
+
+// learnPart applies the entries that came of a list which isn't whole, and whose first byte came
+// so long ago. The version stays as it is: the next call asks for all of it again.
+func (l *loop) learnPart(list *endpoints.List, age time.Duration) {
+	l.apply(&policy.Event{Kind: policy.EvList, List: policy.ListPart, AgeMs: float64(age) / float64(time.Millisecond)}, list)
+}
+
+// apply takes a list's entries over into the connections and hands them on with the event.
+func (l *loop) apply(ev *policy.Event, list *endpoints.List) {
+	ev.Entries = make([]policy.Entry, len(list.Hosts))
 	named := map[policy.Addr]bool{}
 	for i := range list.Hosts {
-		h := &list.Hosts[i]
-		entries[i] = l.names.entry(h)
-		addr := entries[i].Server
-		named[addr] = true
-		b := l.backends[addr]
-		if b == nil {
-			if entries[i].Health == policy.Gone {
-				continue
-			}
-			b = &backend{addr: addr, attempts: map[*attempt]struct{}{}}
-			l.backends[addr] = b
-		}
-		if entries[i].Health != policy.Gone && (b.transport == nil || b.dial != h.Dial || b.bornMs != h.BornMs) {
-			// Connections to another address or to the process before are of no use, and
-			// what has not begun there must not.
-			if b.transport != nil {
-				b.withdraw()
-			}
-			b.dial, b.bornMs, b.transport = h.Dial, h.BornMs, l.dialer.newTransport()
-		}
-		if usable := entries[i].Health == policy.Ready; usable != b.usable {
-			b.usable = usable
-			l.traceHealth(h, list.Seq)
-		}
+		ev.Entries[i] = l.names.entry(&list.Hosts[i])
+		named[ev.Entries[i].Server] = true
+		l.applyEntry(&list.Hosts[i], &ev.Entries[i], list.Seq)
 	}
+	whole := ev.List == policy.ListFull || ev.List == policy.ListCached
 	for addr, b := range l.backends {
-		if kind != policy.ListDelta && !named[addr] {
+		if whole && !named[addr] {
 			b.usable = false
 		}
 		if !b.usable {
@@ -591,7 +607,7 @@
 		}
 		l.drop(b)
 	}
-	l.tell(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	l.tell(ev)
 	usable := false
 	for _, b := range l.backends {
 		usable = usable || b.usable
@@ -599,6 +615,30 @@
 	l.ready.Store(usable)
 }
 
+// applyEntry takes one entry over into its backend and the connections to it.
+func (l *loop) applyEntry(h *endpoints.Host, entry *policy.Entry, version int64) {
+	b := l.backends[entry.Server]
+	if b == nil {
+		if entry.Health == policy.Gone {
+			return
+		}
+		b = &backend{addr: entry.Server, attempts: map[*attempt]struct{}{}}
+		l.backends[entry.Server] = b
+	}
+	if entry.Health != policy.Gone && (b.transport == nil || b.dial != h.Dial || b.bornMs != h.BornMs) {
+		// Connections to another address or to the process before are of no use, and
+		// what has not begun there must not.
+		if b.transport != nil {
+			b.withdraw()
+		}
+		b.dial, b.bornMs, b.transport = h.Dial, h.BornMs, l.dialer.newTransport()
+	}
+	if usable := entry.Health == policy.Ready; usable != b.usable {
+		b.usable = usable
+		l.traceHealth(h, version)
+	}
+}
+
 // withdraw stops the attempts of which no byte has gone out, and closes the connections
 // that stand idle: a backend that drains, is gone or is another now gets nothing more.
 func (b *backend) withdraw() {
--- a/internal/endpoints/endpoints.go
+++ b/internal/endpoints/endpoints.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"strconv"
+	"time"
 	"unicode"
 	"unicode/utf8"
 )
@@ -31,9 +32,12 @@
 
 	// What a Client notes on a list that it read; the form doesn't have it. Scoped: the list
 	// service understood which services were asked for, and sent only those. Subscription: the
-	// number of the client's subscription that the list answers.
+	// number of the client's subscription that the list answers. Age: of a part of a list, the time
+	// since its first byte came.
 	Scoped       bool   `json:"-"`
 	Subscription uint64 `json:"-"`
+
+	Age time.Duration `json:"-"`
 }
 
 // Host is one backend of a list.
--- /dev/null
+++ b/internal/endpoints/stream_test.go
@@ -0,0 +1,115 @@
+package endpoints
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drawList draws a list with names that look like JSON, and its text, indented or not.
+func drawList(t *rapid.T) (List, []byte) {
+	l := List{Seq: rapid.Int64Range(1, 1<<40).Draw(t, "seq"), Whole: rapid.Bool().Draw(t, "whole"), Hosts: []Host{}}
+	for range rapid.IntRange(0, 4).Draw(t, "hosts") {
+		l.Hosts = append(l.Hosts, Host{Host: rapid.SampledFrom([]string{"a", `b}]"`, `c\`, "d\n"}).Draw(t, "host"),
+			Dial: "127.0.0.1:9", Health: rapid.SampledFrom([]string{Ready, Draining, Gone}).Draw(t, "health"), Share: 1})
+	}
+	var text []byte
+	if rapid.Bool().Draw(t, "indented") {
+		text, _ = json.MarshalIndent(l, "", "  ")
+	} else {
+		text, _ = json.Marshal(l)
+	}
+	return l, append(text, '\n')
+}
+
+// Wherever a list is cut, what is read of it is the beginning of its entries, and its version or none.
+func TestPartOfAList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, text := drawList(t)
+		least := 0 // entries read of less
+		for n := range len(text) {
+			part := parsePart(text[:n])
+			if part.Seq != 0 && part.Seq != l.Seq {
+				t.Fatalf("%q: version %d of %d", text[:n], part.Seq, l.Seq)
+			}
+			got := len(part.Hosts)
+			if got < least || got > len(l.Hosts) || got > 0 && !reflect.DeepEqual(part.Hosts, l.Hosts[:got]) {
+				t.Fatalf("%q: %+v", text[:n], part.Hosts)
+			}
+			least = got
+		}
+		if least != len(l.Hosts) {
+			t.Fatalf("%d of %d entries of %q", least, len(l.Hosts), text)
+		}
+	})
+}
+
+// However a watch's bytes are cut into pieces, the lists are the same, each with its last brace.
+func TestStreamInPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want, got []List
+		s := stream{blank: func() {}, part: func([]byte, time.Time) {}}
+		s.whole = func(text []byte) error {
+			l, err := Parse(text)
+			got = append(got, l)
+			return err
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "lists") {
+			l, text := drawList(t)
+			want = append(want, l)
+			for len(text) > 0 {
+				n := rapid.IntRange(1, len(text)).Draw(t, "piece")
+				if err := s.feed(text[:n]); err != nil {
+					t.Fatal(err)
+				}
+				text = text[n:]
+			}
+		}
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+		if err := s.end(io.EOF); err != io.EOF {
+			t.Fatalf("ended with %v", err)
+		}
+	})
+}
+
+// A part is reported 100 ms after its begin, again where it has grown, and at the end; a list that is
+// finished in time is not. The end says how much was left.
+func TestPartIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		parts, lists := []string{}, 0
+		s := stream{blank: func() {}, whole: func([]byte) error { lists++; return nil }}
+		s.part = func(text []byte, since time.Time) { parts = append(parts, string(text)) }
+		feed := func(text string) {
+			if err := s.feed([]byte(text)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		feed(`{"a":`)
+		time.Sleep(partAfter - time.Millisecond)
+		feed(`1}{`[:2]) // in time
+		time.Sleep(time.Second)
+		if len(parts) != 0 || lists != 1 {
+			t.Fatalf("parts %q, %d lists", parts, lists)
+		}
+		feed("\n{\"b\"")
+		time.Sleep(10 * partAfter)
+		feed(":")
+		time.Sleep(10 * partAfter)
+		feed("[")
+		cut := new(IncompleteError)
+		if err := s.end(io.EOF); !errors.As(err, &cut) || cut.Pending != 6 || cut.Age != 20*partAfter || !errors.Is(err, io.EOF) {
+			t.Errorf("ended with %+v", err)
+		}
+		if want := []string{`{"b"`, `{"b":`, `{"b":[`}; !reflect.DeepEqual(parts, want) {
+			t.Errorf("parts %q, want %q", parts, want)
+		}
+	})
+}
--- a/policy/list.go
+++ b/policy/list.go
@@ -26,6 +26,8 @@
 	// ended instead of telling counts as told 2 s later, and discovery may hold the next call
 	// for nearly all of that (issue 26).
 	servedWait = 200.0
+	// quickCalls is how many calls in a row follow so soon on an answer of which a part came.
+	quickCalls = 2
 	// firstWithin bounds the time until a new process asks for the first time: its list may
 	// be old.
 	firstWithin = 3500.0
@@ -66,6 +68,10 @@
 		b.following = false // the time of the first call is of no use any more
 	}
 	ask, u := b.set.Contract.AskWithinMs/5, b.rng.Float64()
+	if b.inDoubt() && b.follows <= quickCalls {
+		b.followIn(min(servedWait, ask) * u) // an answer is owed
+		return
+	}
 	if b.followed && b.follows == 1 {
 		apart := min(1000, ask)*(1+u)/2 - (b.now - b.followAt) // from call to call
 		b.followIn(max(apart, min(servedWait, ask)*u))
@@ -96,13 +102,22 @@
 }
 
 func (b *Balancer) onList(ev *Event) {
-	if ev.List == ListFailed {
+	switch ev.List {
+	case ListFailed:
+		b.partEnded = true
 		if b.set.Membership == "on_request" {
 			b.followAgain()
 		}
 		return
+	case ListPart:
+		b.onPart(ev)
+		return
+	case ListMoved:
+		b.follows, b.followed = 0, true
+		return
 	}
 	b.follows, b.followed = 0, true
+	b.confirm()
 	b.epoch++
 	if b.zones == 0 {
 		zones := map[int]bool{}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
-// This file holds the decisions but those on the list of servers, which are in
-// policy/list.go, and those that a large fleet needs, in policy/crowd.go. Their interface,
+// This file holds the decisions but those on the list of servers, which are in policy/list.go and
+// policy/unconfirmed.go, and those that a large fleet needs, in policy/crowd.go. Their interface,
 // the settings, events, actions and states, is in policy/types.go.
 
 package policy
@@ -64,7 +64,7 @@
 	// leastProbes bounds the validations under way at once.
 	leastProbes = 2
 
-	tickToken, followToken = 1, 2
+	tickToken, followToken, partToken = 1, 2, 3
 )
 
 // New returns the balancer of one agent, or an error that names the setting
@@ -144,6 +144,8 @@
 	switch token {
 	case followToken:
 		b.follow()
+	case partToken:
+		b.holdBack()
 	case tickToken:
 		b.ticking = false
 		b.watchSilence()
@@ -445,7 +447,7 @@
 // maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in
 // hasRoom, whose credit every attempt is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
-	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
+	if !s.usable || b.heldBack(s) || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
 		len(r.attempts) >= b.set.Limits.MaxAttempts {
 		return false
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,7 +6,7 @@
 )
 
 // This file holds what a Balancer remembers and plain arithmetic on it; the
-// decisions are in policy.go, list.go and crowd.go.
+// decisions are in policy.go, list.go, unconfirmed.go and crowd.go.
 
 // server is what the agent knows of one listed server.
 type server struct {
@@ -19,6 +19,7 @@
 	listedAt  float64 // start of its process by the list
 	startedAt float64 // the same, or later where a restart is assumed
 	usable    bool    // listed as ready
+	confirmed bool    // named as ready in the part of an answer that has come
 	state     State
 	since     float64 // when the state was entered
 	choked    bool    // found crowded, and not at rest since
@@ -151,6 +152,8 @@
 	followDue  float64 // which is then
 	followed   bool    // and was granted since it was last asked for,
 	followAt   float64 // which was then
+	partAt     float64 // when the answer began of which a part has come; 0: none is unfinished
+	partEnded  bool    // its call has ended
 	flow       float64 // work sent to a warm server of weight one, fading over the cold time
 	flowAt     float64
 	failing    float64 // attempts that ended of late, less what the earned ones allow; as of triedAt
--- a/policy/types.go
+++ b/policy/types.go
@@ -3,7 +3,7 @@
 // and when to give up. It is a state machine without I/O: the caller hands in
 // events with a clock and carries out the actions that come back, in order.
 //
-// The decisions are in policy.go, list.go and crowd.go; this file holds the interface only.
+// The decisions are in policy.go, list.go, unconfirmed.go and crowd.go; this file holds the interface only.
 package policy
 
 // Addr names a server: four bytes of address and a port. It has no meaning
@@ -169,6 +169,8 @@
 	ListFull
 	ListCached
 	ListFailed
+	ListPart  // what arrived of an answer whose rest didn't, or not yet; AgeMs since its begin
+	ListMoved // discovery is elsewhere: what failed before doesn't count
 )
 
 // Status is how an attempt or a probe ended.
@@ -198,7 +200,7 @@
 	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Report
 	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
 	EvDropped                      // Request: the client left
-	EvList                         // List, Entries
+	EvList                         // List, Entries, AgeMs
 	EvProbed                       // Server, Status, LatencyMs, Report
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
@@ -222,6 +224,7 @@
 	Final     bool // the request is finished
 	Report    []float32
 	List      ListKind
+	AgeMs     float64
 	Entries   []Entry // not changed and not kept by the Balancer
 	Token     uint32
 }
@@ -231,16 +234,17 @@
 
 // The actions.
 const (
-	ActSend   ActionKind = iota + 1 // Request, Server, Ms: time-out, ByMs
-	ActCancel                       // Request, Attempt
-	ActRefuse                       // Request, Ms: advice
-	ActFail                         // Request
-	ActProbe                        // Server
-	ActTimer                        // Ms, Token
-	ActFollow                       // subscribe to the list
-	ActFetch                        // ask for the whole list once
-	ActLog                          // Text
-	ActClose                        // Server: close idle connections to it
+	ActSend     ActionKind = iota + 1 // Request, Server, Ms: time-out, ByMs
+	ActCancel                         // Request, Attempt
+	ActRefuse                         // Request, Ms: advice
+	ActFail                           // Request
+	ActProbe                          // Server
+	ActTimer                          // Ms, Token
+	ActFollow                         // subscribe to the list
+	ActFetch                          // ask for the whole list once
+	ActLog                            // Text
+	ActClose                          // Server: close idle connections to it
+	ActWithdraw                       // Server: end its attempts of which no byte has gone out, as those of a server that drains
 )
 
 // Action is something the agent is to do, in the order given.
--- /dev/null
+++ b/policy/unconfirmed_test.go
@@ -0,0 +1,82 @@
+package policy
+
+import "testing"
+
+// Once a part of an answer has come, a server that it doesn't name as ready gets nothing from half
+// the grace on, until a whole answer comes; one that it names as ready goes on, one that it names as
+// draining stops at once.
+func TestUnconfirmedServersAreHeldBack(t *testing.T) {
+	entry := func(i int, h Health) Entry { return Entry{Server: Addr{byte(i)}, Health: h, Weight: 1} }
+	const grace = 500.0
+	for _, c := range []struct {
+		name    string
+		part    []Entry
+		then    func(r *rig) // 10 ms after the part
+		at      float64      // after the part, in ms
+		sendsTo []int
+	}{
+		{"before half the grace", nil, nil, grace/2 - 20, []int{1, 2, 3}},
+		{"after it", nil, nil, grace/2 + 20, nil},
+		{"one is confirmed", []Entry{entry(2, Ready)}, nil, grace, []int{2}},
+		{"one drains", []Entry{entry(1, Draining)}, nil, 20, []int{2, 3}},
+		{"a whole answer came", nil, func(r *rig) { r.list(ListDelta) }, grace, []int{1, 2, 3}},
+		{"a call failed", nil, func(r *rig) { r.list(ListFailed) }, grace, nil},
+		{"discovery moved", nil, func(r *rig) { r.list(ListMoved) }, grace, nil},
+		{"another part names others", []Entry{entry(2, Ready)}, func(r *rig) { r.list(ListPart, entry(3, Ready)) }, grace, []int{3}},
+		{"nothing came for long", nil, nil, maxUnconfirmed + 20, []int{1, 2, 3}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := testSettings()
+			set.Membership, set.Contract.DrainGraceMs = "on_request", grace
+			r := newRig(t, set, 1)
+			r.list(ListFull, entry(1, Ready), entry(2, Ready), entry(3, Ready))
+			r.list(ListPart, c.part...)
+			began := r.now
+			if c.then != nil {
+				r.now += 10
+				c.then(r)
+			}
+			r.b.now = began + c.at
+			want := map[Addr]bool{}
+			for _, i := range c.sendsTo {
+				want[Addr{byte(i)}] = true
+			}
+			request := &request{class: 0, deadline: r.b.now + 1000}
+			for _, s := range r.b.servers {
+				if got := r.b.maySend(request, s); got != want[s.id] {
+					t.Errorf("may send to %v: %v", s.id[0], got)
+				}
+			}
+		})
+	}
+}
+
+// At half the grace what was decided for servers that are not confirmed and has not gone out is
+// withdrawn, and the whole list is asked for where the call that stalls is still open.
+func TestHoldBackWithdraws(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		set := testSettings()
+		set.Membership, set.Contract.DrainGraceMs = "on_request", 500
+		r := newRig(t, set, 1)
+		a, b := Entry{Server: Addr{1}, Health: Ready, Weight: 1}, Entry{Server: Addr{2}, Health: Ready, Weight: 1}
+		r.list(ListFull, a, b)
+		timer := find(r.do(Event{Kind: EvList, List: ListPart, Entries: []Entry{a}, AgeMs: 100}), ActTimer)
+		if timer == nil || timer.Token != partToken || timer.Ms != 150 {
+			t.Fatalf("timer %+v, want one in 150 ms", timer)
+		}
+		if ended {
+			if again := find(r.list(ListFailed), ActTimer); again == nil || again.Ms > servedWait {
+				t.Fatalf("asked again by %+v", again)
+			}
+		}
+		r.now += 150
+		actions := r.do(Event{Kind: EvTimer, Token: partToken})
+		withdrawn := find(actions, ActWithdraw)
+		if withdrawn == nil || withdrawn.Server != b.Server {
+			t.Errorf("withdrew %+v, want from the server that isn't confirmed", withdrawn)
+		}
+		if asked := find(actions, ActFetch) != nil; asked == ended {
+			t.Errorf("ended %v: asked for the whole list: %v", ended, asked)
+		}
+	}
+}
