--- a/cmd/molepaddle/main_test.go
+++ b/cmd/molepaddle/main_test.go
@@ -14,11 +14,16 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"molepaddle/internal/lab/syscallfault"
 )
 
 // TestMain makes the test binary the program itself when it is started as a child.
 func TestMain(m *testing.M) {
 	if os.Getenv("MOLEPADDLE_CHILD") == "1" {
+		if err := syscallfault.FromEnvironment(); err != nil {
+			panic(err)
+		}
 		main()
 		os.Exit(0)
 	}
--- /dev/null
+++ b/cmd/molepaddle/syscalls_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"molepaddle/internal/lab/syscallfault"
+)
+
+// faultyProgram is the program with system calls that fail while fails is in force.
+type faultyProgram struct {
+	t      *testing.T
+	faults string // as syscallfault has them, or noDescriptors
+	while  string // the file that stands for it
+	config string // the path of the configuration
+	cmd    *exec.Cmd
+	out    *output
+	ended  chan error
+}
+
+// startFaulty starts the program; its calls fail from its first moment on if failing is set.
+func startFaulty(t *testing.T, faults, config string, failing bool) *faultyProgram {
+	t.Helper()
+	dir := t.TempDir()
+	p := &faultyProgram{t: t, faults: faults, while: filepath.Join(dir, "failing"), config: filepath.Join(dir, "config.json"),
+		out: &output{}, ended: make(chan error, 1)}
+	if err := os.WriteFile(p.config, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if failing {
+		p.fail(true)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(exe)
+	p.cmd.Env = append(os.Environ(), "MOLEPADDLE_CHILD=1", "EDGE_CONFIG="+p.config)
+	if faults != noDescriptors {
+		p.cmd.Env = append(p.cmd.Env, syscallfault.FaultsVariable+"="+faults, syscallfault.WhileVariable+"="+p.while)
+	}
+	p.cmd.Stderr = p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	return p
+}
+
+// noDescriptors stands for a process that may open no further descriptor (EMFILE), by its limit.
+const noDescriptors = "no descriptors"
+
+// limitDescriptors bounds the program's descriptors to those that it has, or to a thousand.
+func (p *faultyProgram) limitDescriptors(on bool) {
+	p.t.Helper()
+	limit := unix.Rlimit{Cur: 1000, Max: 1000}
+	if on {
+		limit.Cur = 0
+	}
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// fail has the calls fail from now on, or no more.
+func (p *faultyProgram) fail(on bool) {
+	p.t.Helper()
+	if p.faults == noDescriptors {
+		p.limitDescriptors(on)
+		return
+	}
+	var err error
+	if on {
+		err = os.WriteFile(p.while, nil, 0o600)
+	} else if err = os.Remove(p.while); os.IsNotExist(err) {
+		err = nil
+	}
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// running reports an end of the program.
+func (p *faultyProgram) running() {
+	p.t.Helper()
+	select {
+	case err := <-p.ended:
+		p.t.Fatalf("ended: %v; it said %s", err, p.out)
+	default:
+	}
+}
+
+func doneServer(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "done") }))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// A connection that can't be accepted for a moment, for whatever reason that accept(2) names, is
+// accepted right after, and its request is answered in time.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	for _, errno := range []string{"ECONNABORTED", "EINTR", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM",
+		"ENETDOWN", "EHOSTUNREACH", "ENETUNREACH", "ETIMEDOUT"} {
+		t.Run(errno, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddr(t)
+			p := startFaulty(t, "accept4:"+errno, programConfig(listen, "127.0.0.1:1", doneServer(t), 1024), false)
+			waitReady(t, listen, p.out)
+			p.fail(true)
+			const lasts = 1200 * time.Millisecond
+			statuses := make(chan string, 4)
+			for i := range 4 {
+				go func() {
+					status, err := askFor(listen, fmt.Sprint("u", i), "3000m")
+					statuses <- fmt.Sprint(status, err)
+				}()
+			}
+			time.Sleep(lasts)
+			p.fail(false)
+			back := time.Now()
+			for range 4 {
+				if got := <-statuses; got != "200 <nil>" {
+					t.Errorf("answered %s; it said %s", got, p.out)
+				}
+			}
+			if took := time.Since(back); took > 250*time.Millisecond {
+				t.Errorf("the requests that waited were answered %v after the calls went well again", took)
+			}
+			p.running()
+		})
+	}
+}
+
+// Connections to servers that can't be made for a moment cost no request its final answer, and the
+// servers are sent to again once they can be made: the fault is none of theirs.
+func TestConnectFailsForAMoment(t *testing.T) {
+	for _, fault := range []string{noDescriptors, "connect:EADDRNOTAVAIL", "connect:ENETUNREACH", "connect:EHOSTUNREACH",
+		"connect:ENOBUFS", "connect:ENOMEM"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddr(t)
+			p := startFaulty(t, fault, programConfig(listen, "127.0.0.1:1", doneServer(t), 1024), false)
+			waitReady(t, listen, p.out)
+			p.fail(true)
+			var asked sync.WaitGroup
+			for i := range 20 {
+				asked.Add(1)
+				go func() {
+					defer asked.Done()
+					began := time.Now()
+					status, err := askFor(listen, fmt.Sprint("u", i), "800m")
+					if took := time.Since(began); err != nil || took > 850*time.Millisecond ||
+						status != http.StatusOK && status != http.StatusServiceUnavailable {
+						t.Errorf("request %d: %d, %v, after %v", i, status, err, took)
+					}
+				}()
+				time.Sleep(20 * time.Millisecond)
+			}
+			p.fail(false)
+			back := time.Now()
+			asked.Wait()
+			status, err := 0, error(nil)
+			for status != http.StatusOK && time.Since(back) < 5*time.Second {
+				status, err = askFor(listen, "after", "300m")
+			}
+			if took := time.Since(back); took > 700*time.Millisecond {
+				t.Errorf("served %v after the calls went well again: %d, %v; it said %s", took, status, err, p.out)
+			}
+			p.running()
+		})
+	}
+}
+
+// A start in which calls fail for a moment is a late start, not a crash.
+func TestStartWhileCallsFail(t *testing.T) {
+	for _, fault := range []string{"bind:EADDRINUSE", "bind:EADDRNOTAVAIL", "bind:ENOMEM", "listen:ENOBUFS", "openat:ENFILE", "openat:EIO"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddr(t)
+			p := startFaulty(t, fault, programConfig(listen, "127.0.0.1:1", doneServer(t), 1024), true)
+			time.Sleep(700 * time.Millisecond)
+			p.running()
+			p.fail(false)
+			waitReady(t, listen, p.out)
+			if status, err := askOnce(listen); status != http.StatusOK {
+				t.Errorf("answered %d, %v; it said %s", status, err, p.out)
+			}
+		})
+	}
+}
