Outlast system calls that fail for a moment: accept, connect, listen, the configuration

Cause: net/http's Serve returns on any error of accept but five, and the agent ended with it; on those five it waits up to 1 s, in which accepted clients' time runs. A connect that failed for want of a descriptor, a buffer or a port demoted its server as silent, and one without a route at once. A start gave up at the first error. Class: an error of this machine, or of a moment, taken for a lasting one or another party's. Change: acceptor tries again after 2 to 20 ms on all errors that pass; connectThrough does within the connect's own time and says that no socket was left (Full, as for descriptors) where this machine is to blame; Retry for listen and the configuration's file, 5 s.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -13,10 +13,15 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"molepaddle/internal/agent"
 )
 
+// startWithin is how long the calls of a start may go on failing: an agent has to be ready within
+// 10 s, and one that can't start has to say so.
+const startWithin = 5 * time.Second
+
 func main() {
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "molepaddle:", err)
@@ -30,7 +35,11 @@
 	path := os.Getenv("EDGE_CONFIG")
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
-	conf, err := agent.LoadConfig(path)
+	var conf *agent.Config
+	err := agent.Retry(ctx, startWithin, func() (err error) {
+		conf, err = agent.LoadConfig(path)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -45,7 +54,11 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", conf.Listen)
+	var ln net.Listener
+	err = agent.Retry(ctx, startWithin, func() (err error) {
+		ln, err = net.Listen("tcp", conf.Listen)
+		return err
+	})
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, d.timeout)
 	defer cancel()
-	c, err := d.connect(ctx, network, addr)
+	c, err := connectThrough(ctx, func(ctx context.Context) (net.Conn, error) { return d.connect(ctx, network, addr) })
 	if err == nil && a.ctx.Err() != nil { // it came up in the moment in which it was given up
 		c.Close()
 		err = a.ctx.Err()
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -101,7 +101,10 @@
 	go a.loop.run()
 	failed := make(chan error, 1)
 	end := make(chan struct{})
-	go func() { failed <- a.server.Serve(&listener{Listener: ln, clients: a.clients, end: end}) }()
+	accepting, acceptNoMore := context.WithCancel(context.Background())
+	defer acceptNoMore()
+	accepted := &acceptor{Listener: ln, ctx: accepting, log: a.log}
+	go func() { failed <- a.server.Serve(&listener{Listener: accepted, clients: a.clients, end: end}) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -109,6 +112,7 @@
 	}
 	a.leave(func() {
 		close(end)
+		acceptNoMore()
 		ln.Close()
 		<-failed
 	})
