--- a/cmd/molepaddle/notified_test.go
+++ b/cmd/molepaddle/notified_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -95,6 +100,10 @@
 	marked chan time.Time // the moment from which the test counts
 	came   *arrivals      // at the server that drains
 	out    *output        // of the agent
+
+	cmd       *exec.Cmd
+	config    string // the path of the configuration
+	discovery string // its address
 }
 
 // open answers a watch with an empty change of the version that the agent has, and waits until the
@@ -118,12 +127,13 @@
 	}
 	d.until = `{"seq":2,"whole":false,"hosts":[` + entry("s-1", drains, "draining")
 	d.text = d.until + "," + entry("s-2", stays, "ready") + "]}\n"
-	discovery := rawDiscovery(t, func(c net.Conn, n int, _ string) { serve(d, c, n) })
+	d.discovery = rawDiscovery(t, func(c net.Conn, n int, _ string) { serve(d, c, n) })
 	listen := freeAddr(t)
 	settings := strings.Replace(settings, `"drainGraceMs":250`, fmt.Sprintf(`"drainGraceMs":%d`, drainGrace.Milliseconds()), 1)
-	_, d.out = child(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
+	d.config = filepath.Join(t.TempDir(), "config.json")
+	d.cmd, d.out = childAt(t, d.config, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f",
  "limits":{"cores":1,"memory_mb":192,"sockets":1024},"settings":%s,"known":{"seq":1,"whole":true,"hosts":[%s,%s]}}`,
-		listen, discovery, settings, entry("s-1", drains, "ready"), entry("s-2", stays, "ready")))
+		listen, d.discovery, settings, entry("s-1", drains, "ready"), entry("s-2", stays, "ready")))
 	waitReady(t, listen, d.out)
 	<-d.opened
 	stop := make(chan struct{})
@@ -249,3 +259,42 @@
 		})
 	}
 }
+
+// What discovery writes at its address of before, until it closes the watch there, is heard also
+// while the call at the new one waits for its turn.
+func TestMovedWatchIsHeardOut(t *testing.T) {
+	for name, wrote := range map[string]func(d *drainRun, c net.Conn){
+		"whole":    func(d *drainRun, c net.Conn) { fmt.Fprint(c, chunk(d.text)) },
+		"the part": func(d *drainRun, c net.Conn) { fmt.Fprint(c, chunk(d.until)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			moved := make(chan struct{}, 10)
+			d := startDrainRun(t, func(d *drainRun, c net.Conn, n int) {
+				d.open(c)
+				<-moved
+				time.Sleep(50 * time.Millisecond)
+				d.marked <- time.Now()
+				wrote(d, c)
+				time.Sleep(1400 * time.Millisecond)
+			})
+			next := rawDiscovery(t, func(c net.Conn, n int, _ string) {
+				moved <- struct{}{}
+				time.Sleep(3 * time.Second)
+				fmt.Fprint(c, watchHead+chunk(d.text))
+				time.Sleep(3 * time.Second)
+			})
+			config, err := os.ReadFile(d.config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(d.config, bytes.ReplaceAll(config, []byte(d.discovery), []byte(next)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := d.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			d.check(t, 2*time.Second, 0)
+		})
+	}
+}
--- /dev/null
+++ b/cmd/molepaddle/reload_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A configuration that can't be read, or isn't whole, when the signal comes is read when it can be.
+func TestReconfigureWhileReadsFail(t *testing.T) {
+	for _, fault := range []string{"openat:ENFILE", "openat:EIO", "half a file"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan struct{}, 10)
+			discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				asked <- struct{}{}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+			listen, server := freeAddr(t), doneServer(t)
+			injected := fault
+			if fault == "half a file" {
+				injected = "openat:EIO"
+			}
+			p := startFaulty(t, injected, programConfig(listen, "127.0.0.1:1", server, 1024), false)
+			waitReady(t, listen, p.out)
+			next := programConfig(listen, discovery.Listener.Addr().String(), server, 1024)
+			write := func(text string) {
+				if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if fault == "half a file" {
+				write(next[:len(next)/2])
+			} else {
+				write(next)
+				p.fail(true)
+			}
+			if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(500 * time.Millisecond)
+			p.fail(false)
+			write(next)
+			select {
+			case <-asked:
+			case <-time.After(2 * time.Second):
+				t.Errorf("the new address of discovery was not asked; it said %s", p.out)
+			}
+			p.running()
+		})
+	}
+}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -543,6 +543,33 @@
 	}
 }
 
+// A whole list that was overtaken by a newer one, while both calls were open, is not taken: what it
+// says was written before. One that is older than what its own call named is: discovery has begun to
+// count anew.
+func TestOvertakenListIsNotTaken(t *testing.T) {
+	ready := endpoints.Host{Host: "s-0", Dial: "127.0.0.1:1", Health: "ready"}
+	drains := ready
+	drains.Health = "draining"
+	for _, c := range []struct {
+		name        string
+		since, came int64 // the version that the watch named or told last, and that of its list
+		taken       bool
+	}{
+		{"overtaken", 12, 14, false},
+		{"overtaken, nothing new", 14, 14, false},
+		{"counted anew", 12, 3, true},
+		{"of the same version", 12, 15, true},
+		{"newer", 12, 16, true},
+	} {
+		l := quietLoop(t, "127.0.0.1:1", "127.0.0.1:2")
+		l.handle(input{kind: inFetched, list: list(15, true, drains)})
+		l.handle(input{kind: inWatched, since: c.since, list: list(c.came, true, ready)})
+		if b := l.backends[addrOf("s-0")]; (b != nil && b.usable) != c.taken {
+			t.Errorf("%s: taken: %v", c.name, !c.taken)
+		}
+	}
+}
+
 // A watch that answers that nothing has changed has not failed: the next failure is the
 // first again, and the watch begins anew as soon as after one.
 func TestUnchangedListIsAnAnswer(t *testing.T) {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -43,6 +43,7 @@
 	res   result
 	token uint32
 	list  endpoints.List
+	since int64 // the version that the watch named, or told before this list
 	err   error
 	from  *discovery // who told
 	addr  string
