Hear out the discovery that is left, read a reload again, drop overtaken lists

Cause: three ways in which a notification that was written got lost behind a change of the agent's own state: at a reload the watch of before was cancelled before the new one was answered; a file that could not be read at the signal was not read again; a whole list replaced a newer one that another call had brought meanwhile.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -62,17 +62,7 @@
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
-	go func() {
-		for range again {
-			conf, err := agent.LoadConfig(path)
-			if err != nil {
-				log.Error("SIGHUP: the configuration stays as it was", "err", err)
-				continue
-			}
-			log.Info("SIGHUP: configuration read again", "discovery", conf.Discovery, "stewards", conf.Stewards)
-			a.Reconfigure(conf)
-		}
-	}()
+	go reload(ctx, path, again, log, a)
 	if conf.BadKnown != nil {
 		log.Warn("a part of the list at hand was left out", "err", conf.BadKnown)
 	}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"io"
+	"time"
 
 	"molepaddle/internal/endpoints"
 	"molepaddle/policy"
@@ -38,6 +39,20 @@
 	return policy.Addr(sum[2:])
 }
 
+const (
+	// formerFor is how long a discovery that was left is heard out: it closes its watches 1.5 s after
+	// the signal (TERMS).
+	formerFor = 2 * time.Second
+	// maxFormer bounds how many are heard out at once, where configurations follow on each other.
+	maxFormer = 4
+)
+
+// former is a discovery that the agent has left and still hears.
+type former struct {
+	disc     *discovery
+	leaveOff context.CancelFunc // ends the calls to it
+}
+
 // discovery asks the service that lists the backends. Its methods block; the loop
 // runs each in a goroutine of its own, and hears of the result by post.
 type discovery struct {
@@ -75,6 +90,10 @@
 
 // watch follows the changes after version since until no address leads on.
 func (d *discovery) watch(ctx context.Context, since int64) {
-	err := d.client.Watch(ctx, since, func(l endpoints.List) { d.post(input{kind: inWatched, list: l}) })
+	told := since
+	err := d.client.Watch(ctx, since, func(l endpoints.List) {
+		d.post(input{kind: inWatched, list: l, since: told})
+		told = l.Seq
+	})
 	d.post(input{kind: inWatchEnded, err: err})
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -111,6 +111,7 @@
 	quiet    endpoints.Bucket        // for lines on discovery
 	left     int                     // lines since the last that there was no room for
 	leaveOff context.CancelFunc      // ends the calls to disc
+	former   []former                // those before, which are heard out
 	discCtx  context.Context
 	requests map[policy.RequestID]*request
 	backends map[policy.Addr]*backend
@@ -216,7 +217,8 @@
 		}
 	}()
 	if in.from != nil && in.from != l.disc {
-		return // from where discovery was before
+		l.hearFormer(&in)
+		return
 	}
 	switch in.kind {
 	case inRequest:
@@ -251,8 +253,11 @@
 		}
 	case inWatched:
 		l.watched.lists++
+		// A whole list was overtaken if another call told a newer one while its call was open. One
+		// that is older than what its own call named is of a discovery that counts anew.
+		overtaken := in.list.Seq < l.seq && (l.lists != nil || in.list.Seq >= in.since)
 		switch {
-		case in.list.Whole && (l.lists == nil || in.list.Seq >= l.seq):
+		case in.list.Whole && !overtaken:
 			l.take(policy.ListFull, &in.list)
 		case in.list.Seq >= l.seq: // of the same version: nothing changed, but the call was answered
 			l.take(policy.ListDelta, &in.list)
@@ -324,7 +329,7 @@
 			l.disc.client.Set(addrs)
 		}
 	} else {
-		l.leaveOff()
+		l.hearOut()
 		l.ask(addrs)
 		l.watching = false
 		if l.fetching {
@@ -336,6 +341,34 @@
 	l.follow()
 }
 
+// hearOut leaves the discovery of now, and keeps its calls for a time: what it writes on them until
+// it closes them counts as told, and the first answer of the next one may be long in coming.
+func (l *loop) hearOut() {
+	l.former = append(l.former, former{l.disc, l.leaveOff})
+	time.AfterFunc(formerFor, l.leaveOff)
+	if len(l.former) > maxFormer {
+		l.former[0].leaveOff()
+		l.former = l.former[1:]
+	}
+}
+
+// hearFormer takes what a discovery tells that was left, if it is newer than what is known. How its
+// calls end is of no interest.
+func (l *loop) hearFormer(in *input) {
+	known := slices.ContainsFunc(l.former, func(f former) bool { return f.disc == in.from })
+	if !known || in.list.Seq <= l.seq {
+		return
+	}
+	switch {
+	case in.kind == inPart:
+		l.takePart(&in.list)
+	case in.kind == inFetched && in.err == nil || in.kind == inWatched && in.list.Whole:
+		l.take(policy.ListFull, &in.list)
+	case in.kind == inWatched:
+		l.take(policy.ListDelta, &in.list)
+	}
+}
+
 // rescope changes the services that are asked for, at the addresses that are the discovery's
 // now. What is held stays in use until the whole list of the new ones comes.
 func (l *loop) rescope(services []string) {
