--- a/cmd/molepaddle/syscalls_test.go
+++ b/cmd/molepaddle/syscalls_test.go
@@ -142,6 +142,31 @@
 	}
 }
 
+// A request whose connection could not be accepted at first is passed on with the time that is left.
+func TestDeadlineOfAQueuedRequest(t *testing.T) {
+	told := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		told <- r.Header.Get("Request-Timeout")
+	}))
+	t.Cleanup(s.Close)
+	listen := freeAddr(t)
+	p := startFaulty(t, "accept4:ENFILE", programConfig(listen, "127.0.0.1:1", s.Listener.Addr().String(), 1024), false)
+	waitReady(t, listen, p.out)
+	p.fail(true)
+	go func() { _, _ = askFor(listen, "u1", "3000m") }()
+	const queued = 600 * time.Millisecond
+	time.Sleep(queued)
+	p.fail(false)
+	text := <-told
+	var ms int
+	if _, err := fmt.Sscanf(text, "%dm", &ms); err != nil {
+		t.Fatalf("told %q: %v", text, err)
+	}
+	if left := 3*time.Second - queued; time.Duration(ms)*time.Millisecond > left+graceSlack {
+		t.Errorf("the server was told %s, the client had %v left", text, left)
+	}
+}
+
 // Connections to servers that can't be made for a moment cost no request its final answer, and the
 // servers are sent to again once they can be made: the fault is none of theirs.
 func TestConnectFailsForAMoment(t *testing.T) {
