Count a request's time from when it came, and tell servers what is left when it goes out

Cause: the time that a server is told was worked out before the connect, and a request's time began with its handler, whatever it had waited for before: a queue that could not be accepted from, a place, the request ahead of it. Class: a span counted from when the agent gets round to something, and not from when it happened. Change: tellDeadline runs when the attempt has its connection, right before the transport writes the head; a connection knows since when it may have stood in the queue, and a request counts from its first byte, also one read ahead.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -157,6 +157,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stage  atomic.Int32
+	header http.Header          // of the request as the backend gets it
 	conn   atomic.Pointer[conn] // the one that it may be written to
 	cut    atomic.Bool          // a write failed: the request did not go out whole
 	whole  atomic.Bool          // its body was taken to the last byte
@@ -199,6 +200,7 @@
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*conn); ok && a.conn.CompareAndSwap(nil, c) {
 		c.attempt.Store(a)
+		a.tellDeadline() // now, and not before a connect that takes long: the transport writes it next
 	}
 }
 
@@ -288,11 +290,9 @@
 	r := a.req
 	u := *r.url
 	u.Scheme, u.Host = "http", a.dial
-	left := max(time.Until(a.deadline()).Milliseconds(), 1)
-	h := http.Header{
-		"Request-Timeout": {strconv.FormatInt(left, 10) + "m"},
-		"User-Agent":      {""},
-	}
+	h := http.Header{"User-Agent": {""}}
+	a.header = h
+	a.tellDeadline()
 	if r.wireID != "" {
 		h["Request-Id"] = []string{r.wireID}
 	}
@@ -308,6 +308,12 @@
 		Body: &outBody{rest: bytes.NewReader(r.body), whole: &a.whole}, ContentLength: int64(len(r.body))}
 }
 
+// tellDeadline sets what the backend is told of the time that the agent will wait.
+func (a *attempt) tellDeadline() {
+	left := max(time.Until(a.deadline()).Milliseconds(), 1)
+	a.header["Request-Timeout"] = []string{strconv.FormatInt(left, 10) + "m"}
+}
+
 // outBody is a request's body on its way out. It notes when it was taken to its last byte, which
 // the transport sends on before it comes for more.
 type outBody struct {
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -167,9 +167,12 @@
 	closed   bool
 	until    time.Time // the end of lingering, once the agent's side has ended
 	lingered int
-	ended    bool   // the client's side has ended
-	behind   bool   // something came behind the request at hand
-	ahead    []byte // of that, what was read beyond the first byte
+	ended    bool      // the client's side has ended
+	queued   time.Time // when the connection came at the earliest: it may have waited to be accepted
+	came     time.Time // when the request at hand came at the earliest
+	next     time.Time // the same of the next one, of which something came behind it; zero: nothing did
+	behind   bool      // something came behind the request at hand
+	ahead    []byte    // of that, what was read beyond the first byte
 	aheadEnd error
 	flooded  bool          // more came there than is kept
 	stop     chan struct{} // closed when reading ahead has ended; nil: it does not run
@@ -191,7 +194,7 @@
 		c.ahead = c.ahead[n:]
 		c.head.scan(p[:n])
 		if c.stage == resting {
-			c.enter(reading)
+			c.begin(0)
 		}
 		c.beside(n, len(p))
 		c.all.mu.Unlock()
@@ -203,6 +206,7 @@
 	}
 	c.all.mu.Unlock()
 
+	began := time.Now()
 	n, err := c.Conn.Read(p)
 	c.all.mu.Lock()
 	c.ended = c.ended || err != nil && !os.IsTimeout(err)
@@ -212,7 +216,7 @@
 		return 0, c.linger()
 	}
 	if n > 0 && c.stage == resting {
-		c.enter(reading)
+		c.begin(time.Since(began))
 	}
 	c.beside(n, len(p))
 	c.all.mu.Unlock()
@@ -225,6 +229,9 @@
 func (c *clientConn) beside(n, room int) {
 	if n == 1 && room == 1 {
 		c.behind = true
+		if c.next.IsZero() {
+			c.next = time.Now()
+		}
 		c.watch()
 	}
 }
@@ -283,6 +290,29 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// begin notes that the first bytes of a request were read after a wait, and when they came at the
+// earliest. Where none are read, as they came with the request before, its time stands for both.
+func (c *clientConn) begin(waited time.Duration) {
+	c.enter(reading)
+	now := time.Now()
+	switch {
+	case !c.next.IsZero():
+		c.came = c.next
+	case !c.answered && !c.queued.IsZero() && waited < queueWait:
+		c.came = c.queued // it may have come with the connection
+	default:
+		c.came = now
+	}
+	c.next = time.Time{}
+}
+
+// requestCame is when the request that was read came at the earliest: its time runs from then on.
+func (c *clientConn) requestCame() time.Time {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.came
+}
+
 func (c *clientConn) enter(s stage) {
 	if c.stage != s {
 		c.stage, c.since = s, time.Now()
@@ -414,21 +444,3 @@
 	}
 	return c.Conn.Close()
 }
-
-// listener gives each client a place before it is served.
-type listener struct {
-	net.Listener
-	clients *clients
-	end     <-chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if c := l.clients.add(raw, l.end); c != nil {
-		return c, nil
-	}
-	return nil, net.ErrClosed
-}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -103,8 +103,9 @@
 	end := make(chan struct{})
 	accepting, acceptNoMore := context.WithCancel(context.Background())
 	defer acceptNoMore()
-	accepted := &acceptor{Listener: ln, ctx: accepting, log: a.log}
-	go func() { failed <- a.server.Serve(&listener{Listener: accepted, clients: a.clients, end: end}) }()
+	go func() {
+		failed <- a.server.Serve(&listener{Listener: ln, clients: a.clients, end: end, ctx: accepting, log: a.log})
+	}()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
@@ -164,6 +165,9 @@
 		_ = control.SetReadDeadline(came.Add(bodyWait))
 	}
 	client, _ := hr.Context().Value(clientKey{}).(*clientConn)
+	if client != nil {
+		came = client.requestCame()
+	}
 	if client != nil && client.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
 		w.Header().Set("Connection", "close")
 		a.write(w, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
--- a/internal/agent/transient.go
+++ b/internal/agent/transient.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
 	"slices"
 	"syscall"
@@ -32,8 +31,6 @@
 	// transientWait is the time between tries of a call that failed for a moment, which grows to
 	// maxTransientWait: clients wait in the listener's queue meanwhile, and their time runs.
 	transientWait, maxTransientWait = 2 * time.Millisecond, 20 * time.Millisecond
-	// acceptLines is how often a second an accept that fails is logged.
-	acceptLines = time.Second
 )
 
 // pause waits before the next try, for longer the more there were, and tells whether there is one.
@@ -61,32 +58,6 @@
 	}
 }
 
-// acceptor accepts connections whatever accept(2) says, but for errors that last.
-type acceptor struct {
-	net.Listener
-	ctx    context.Context // ends the waits
-	log    *slog.Logger
-	logged time.Time
-	failed int // since it was logged
-}
-
-// Accept waits for a connection. Its error is net.ErrClosed, or one that lasts.
-func (a *acceptor) Accept() (net.Conn, error) {
-	for tries := 0; ; tries++ {
-		c, err := a.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) || isAny(err, lastingErrors) {
-			return c, err
-		}
-		if a.failed++; time.Since(a.logged) >= acceptLines {
-			a.log.Warn("accept failed", "err", err, "failed", a.failed)
-			a.logged, a.failed = time.Now(), 0
-		}
-		if !pause(a.ctx, tries) {
-			return nil, net.ErrClosed
-		}
-	}
-}
-
 // connectThrough connects again while a connect fails for want of something on this machine or of a
 // way through the network, as long as the context lets it. What is left then is wrapped in errSockets
 // where this machine is to blame.
