--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -239,3 +239,33 @@
 		t.Errorf("%d bytes more are held", grew)
 	}
 }
+
+// A client in the midst of its request that has to give its place to another one is told so: what it
+// sent until then, perhaps all of it, was not for nothing and may be sent again.
+func TestSlowClientIsRefusedWhenItGivesWay(t *testing.T) {
+	addr, _ := counted(t, 200, false)
+	conf := config(nowhere, addr)
+	conf["limits"].(map[string]any)["sockets"] = minSockets
+	a, base, _, _ := start(t, conf)
+	text := asBytes("slow")
+	var slow []*bufio.Reader
+	for range a.clients.most {
+		c, r := peer(t, base)
+		slow = append(slow, r)
+		io.WriteString(c, text[:len(text)-1])
+	}
+	until(t, "all are in their request", func() bool { return a.clients.at(reading) == a.clients.most })
+	time.Sleep(slowFor)
+	if status, _, _ := do(t, call(base, "order")); status != 200 {
+		t.Fatalf("answered %d", status)
+	}
+	for i, r := range slow {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("client %d of %d got no answer: %v", i, len(slow), err)
+		}
+		if resp.StatusCode < 400 {
+			t.Fatalf("client %d got %d", i, resp.StatusCode)
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/startclock_test.go
@@ -0,0 +1,38 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"molepaddle/internal/endpoints"
+)
+
+// A process whose wall clock was stepped before it began knows all the same how long a server has
+// run that starts later: cold ones aren't taken for warm, nor for cold longer than they are.
+func TestSteppedClockAtTheStart(t *testing.T) {
+	const coldMs = 8000
+	for _, step := range []time.Duration{0, time.Hour, -time.Hour, 20 * time.Second, -20 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			l := quietLoop(t, "127.0.0.1:1")
+			l.baseMs += float64(step.Milliseconds()) // of the process's clock, which alone is off
+			realMs := func() float64 { return l.clock() - float64(step.Milliseconds()) }
+			l.pass(20 * time.Second)
+			l.handle(input{kind: inWatched, list: list(2, false)})
+			l.pass(10 * time.Second)
+			// It started 2 s ago; another one long ago, and was not listed for some time.
+			started := realMs() - 2000
+			hosts := []endpoints.Host{
+				{Host: "s-8", Dial: "127.0.0.1:8", Health: "ready", BornMs: started - 500_000},
+				{Host: "s-9", Dial: "127.0.0.1:9", Health: "ready", BornMs: started}}
+			l.handle(input{kind: inWatched, list: list(3, false, hosts[1])})
+			l.handle(input{kind: inWatched, list: list(4, false, hosts[0])})
+			age := func(i int) float64 { return l.clock() - l.startOf(&hosts[i]) }
+			if got := age(1); got < 0 || got > coldMs*3/2 || step < 0 && got > 3000 {
+				t.Errorf("the new server counts as %.0f ms old, is 2000", got)
+			}
+			if got := age(0); got < coldMs {
+				t.Errorf("the old server counts as %.0f ms old, is 502000", got)
+			}
+		})
+	}
+}
