Take failed connections of clients for gone, refuse slow ones, set starts to the own clock

Cause: three places that trusted a reading for what it only suggests. The peek at a client's connection knew two errors as its end and took ETIMEDOUT and EHOSTUNREACH for a client that is there. A client in its request that had to give its place was closed without a word, and with bytes unread, so reset. Starts of servers, told by the wall clock, were compared with a clock that runs from the process's own wall clock at its begin: a step of an hour before made cold servers warm. Change: every error that doesn't pass ends the connection; a request that gives way, or is left at the shutdown's end, is answered 503 and its bytes are taken from the system first; startClock learns from the newest start in each list, which can be neither to come nor older than the list before it and 8 s. What a process's first list tells can't be judged if its clock is ahead.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -37,7 +37,8 @@
 type backend struct {
 	addr      policy.Addr
 	dial      string
-	bornMs    float64
+	bornMs    float64 // start of its process, by discovery's clock
+	startedMs float64 // the same by the loop's
 	usable    bool
 	transport *http.Transport
 	attempts  map[*attempt]struct{} // out now
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -15,6 +16,8 @@
 	// goes what the client has not read of its last answer.
 	lingerFor   = 300 * time.Millisecond
 	lingerBytes = 256 << 10
+	// refuseWithin bounds the write of a refusal, which finds room in the system's buffer.
+	refuseWithin = 5 * time.Millisecond
 	// A connection gives its place to another that waits for one after so long at rest, so
 	// long since it was made without a byte, or so long within a request's head or body.
 	restedFor, freshFor, slowFor = 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond
@@ -109,6 +112,7 @@
 		why := reasonIdleEvicted
 		if out.stage == reading {
 			why = reasonSlowEvicted
+			out.refuse()
 		}
 		cs.trace(out, why)
 		out.stage = closing
@@ -117,6 +121,34 @@
 	}
 }
 
+// refusal is what a client is told whose request can't be taken for want of a place.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuse answers a request that is being read and is given up, and takes what has come of it from the
+// system: a close over unread bytes would reset the connection and the answer with it.
+func (c *clientConn) refuse() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseWithin))
+	_, _ = io.WriteString(c.Conn, refusal)
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		buf := make([]byte, 4<<10)
+		for read := 0; read < lingerBytes; {
+			n, _, err := syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			read += n
+		}
+	})
+}
+
 // drain closes the connections at rest, now and from now on. One on which no request has
 // come yet keeps its place for a time: the client has only just connected.
 func (cs *clients) drain() {
@@ -149,6 +181,9 @@
 	defer cs.mu.Unlock()
 	for c := range cs.conns {
 		cs.trace(c, reasonShutdown)
+		if c.stage == reading {
+			c.refuse()
+		}
 		c.stage = closing
 		c.Conn.Close()
 	}
@@ -374,7 +409,8 @@
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE
+		// An error that doesn't pass has ended the connection.
+		gone = n == 0 && err == nil || err != nil && !IsTransient(err)
 	})
 	return gone || err != nil
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -119,6 +119,7 @@
 	seq      int64
 	watching bool
 	watched  watchTrace
+	starts   startClock
 	fetching bool
 	actions  []policy.Action
 	ready    atomic.Bool // a backend can be sent to
@@ -624,10 +625,12 @@
 
 // apply takes a list's entries over into the connections and hands them on with the event.
 func (l *loop) apply(ev *policy.Event, list *endpoints.List) {
+	l.observeStarts(ev.List, list)
 	ev.Entries = make([]policy.Entry, len(list.Hosts))
 	named := map[policy.Addr]bool{}
 	for i := range list.Hosts {
 		ev.Entries[i] = l.names.entry(&list.Hosts[i])
+		ev.Entries[i].SinceMs = l.startOf(&list.Hosts[i])
 		named[ev.Entries[i].Server] = true
 		l.applyEntry(&list.Hosts[i], &ev.Entries[i], list.Seq)
 	}
@@ -665,7 +668,7 @@
 		if b.transport != nil {
 			b.withdraw()
 		}
-		b.dial, b.bornMs, b.transport = h.Dial, h.BornMs, l.dialer.newTransport()
+		b.dial, b.bornMs, b.startedMs, b.transport = h.Dial, h.BornMs, entry.SinceMs, l.dialer.newTransport()
 	}
 	if usable := entry.Health == policy.Ready; usable != b.usable {
 		b.usable = usable
--- a/internal/agent/startclock.go
+++ b/internal/agent/startclock.go
@@ -1,6 +1,56 @@
 package agent
 
-import "molepaddle/internal/endpoints"
+import (
+	"time"
 
-// startOf is when the process of a listed server started, on the loop's clock in ms; 0: long ago.
-func (l *loop) startOf(h *endpoints.Host) float64 { return h.BornMs }
+	"molepaddle/internal/endpoints"
+	"molepaddle/policy"
+)
+
+// listedWithin is how long after its start a server that could be reached is listed at the latest,
+// with room to spare.
+const listedWithin = 8 * time.Second
+
+// startClock translates the starts of servers, which discovery gives by the wall clock, to the loop's
+// clock. That runs from the process's wall clock at its begin, which may have been stepped before; a
+// start shows how far it is off, as it can be neither to come nor much older than the list before it.
+type startClock struct {
+	newest float64   // the latest start that was told, in ms of discovery's clock
+	ahead  float64   // by how much the loop's clock is ahead of discovery's, in ms
+	listed time.Time // when discovery's last list was taken; zero: none was
+}
+
+// observe takes what a list of discovery's says of the clocks, at a time of the loop's clock in ms.
+func (c *startClock) observe(list *endpoints.List, nowMs float64) {
+	latest := c.newest
+	for i := range list.Hosts {
+		latest = max(latest, list.Hosts[i].BornMs)
+	}
+	if latest > c.newest {
+		age := nowMs - (latest + c.ahead)
+		most := time.Since(c.listed) + listedWithin // it started after the list before
+		if age < 0 || !c.listed.IsZero() && age > float64(most.Milliseconds()) {
+			c.ahead = nowMs - latest // it has only just started
+		}
+	}
+	c.newest, c.listed = latest, time.Now()
+}
+
+// startOf is when the process of a listed server started, on the loop's clock in ms; 0: long ago. What
+// was once told of a process stays.
+func (l *loop) startOf(h *endpoints.Host) float64 {
+	if b := l.backends[addrOf(h.Host)]; b != nil && b.bornMs == h.BornMs {
+		return b.startedMs
+	}
+	if h.BornMs <= 0 {
+		return 0
+	}
+	return h.BornMs + l.starts.ahead
+}
+
+// observeStarts has the clock of starts learn from a list, unless it is one from before the process.
+func (l *loop) observeStarts(kind policy.ListKind, list *endpoints.List) {
+	if kind == policy.ListDelta || kind == policy.ListFull {
+		l.starts.observe(list, l.clock())
+	}
+}
