--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -15,6 +16,8 @@
 	// goes what the client has not read of its last answer.
 	lingerFor   = 300 * time.Millisecond
 	lingerBytes = 256 << 10
+	// refuseWithin bounds the write of a refusal, which finds room in the system's buffer.
+	refuseWithin = 5 * time.Millisecond
 	// A connection gives its place to another that waits for one after so long at rest, so
 	// long since it was made without a byte, or so long within a request's head or body.
 	restedFor, freshFor, slowFor = 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond
@@ -109,6 +112,7 @@
 		why := reasonIdleEvicted
 		if out.stage == reading {
 			why = reasonSlowEvicted
+			out.refuse()
 		}
 		cs.trace(out, why)
 		out.stage = closing
@@ -117,6 +121,34 @@
 	}
 }
 
+// refusal is what a client is told whose request can't be taken for want of a place.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuse answers a request that is being read and is given up, and takes what has come of it from the
+// system: a close over unread bytes would reset the connection and the answer with it.
+func (c *clientConn) refuse() {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refuseWithin))
+	_, _ = io.WriteString(c.Conn, refusal)
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		buf := make([]byte, 4<<10)
+		for read := 0; read < lingerBytes; {
+			n, _, err := syscall.Recvfrom(int(fd), buf, syscall.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				return
+			}
+			read += n
+		}
+	})
+}
+
 // drain closes the connections at rest, now and from now on. One on which no request has
 // come yet keeps its place for a time: the client has only just connected.
 func (cs *clients) drain() {
@@ -149,6 +181,9 @@
 	defer cs.mu.Unlock()
 	for c := range cs.conns {
 		cs.trace(c, reasonShutdown)
+		if c.stage == reading {
+			c.refuse()
+		}
 		c.stage = closing
 		c.Conn.Close()
 	}
@@ -167,9 +202,12 @@
 	closed   bool
 	until    time.Time // the end of lingering, once the agent's side has ended
 	lingered int
-	ended    bool   // the client's side has ended
-	behind   bool   // something came behind the request at hand
-	ahead    []byte // of that, what was read beyond the first byte
+	ended    bool      // the client's side has ended
+	queued   time.Time // when the connection came at the earliest: it may have waited to be accepted
+	came     time.Time // when the request at hand came at the earliest
+	next     time.Time // the same of the next one, of which something came behind it; zero: nothing did
+	behind   bool      // something came behind the request at hand
+	ahead    []byte    // of that, what was read beyond the first byte
 	aheadEnd error
 	flooded  bool          // more came there than is kept
 	stop     chan struct{} // closed when reading ahead has ended; nil: it does not run
@@ -191,7 +229,7 @@
 		c.ahead = c.ahead[n:]
 		c.head.scan(p[:n])
 		if c.stage == resting {
-			c.enter(reading)
+			c.begin(0)
 		}
 		c.beside(n, len(p))
 		c.all.mu.Unlock()
@@ -203,6 +241,7 @@
 	}
 	c.all.mu.Unlock()
 
+	began := time.Now()
 	n, err := c.Conn.Read(p)
 	c.all.mu.Lock()
 	c.ended = c.ended || err != nil && !os.IsTimeout(err)
@@ -212,7 +251,7 @@
 		return 0, c.linger()
 	}
 	if n > 0 && c.stage == resting {
-		c.enter(reading)
+		c.begin(time.Since(began))
 	}
 	c.beside(n, len(p))
 	c.all.mu.Unlock()
@@ -225,6 +264,9 @@
 func (c *clientConn) beside(n, room int) {
 	if n == 1 && room == 1 {
 		c.behind = true
+		if c.next.IsZero() {
+			c.next = time.Now()
+		}
 		c.watch()
 	}
 }
@@ -283,6 +325,29 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// begin notes that the first bytes of a request were read after a wait, and when they came at the
+// earliest. Where none are read, as they came with the request before, its time stands for both.
+func (c *clientConn) begin(waited time.Duration) {
+	c.enter(reading)
+	now := time.Now()
+	switch {
+	case !c.next.IsZero():
+		c.came = c.next
+	case !c.answered && !c.queued.IsZero() && waited < queueWait:
+		c.came = c.queued // it may have come with the connection
+	default:
+		c.came = now
+	}
+	c.next = time.Time{}
+}
+
+// requestCame is when the request that was read came at the earliest: its time runs from then on.
+func (c *clientConn) requestCame() time.Time {
+	c.all.mu.Lock()
+	defer c.all.mu.Unlock()
+	return c.came
+}
+
 func (c *clientConn) enter(s stage) {
 	if c.stage != s {
 		c.stage, c.since = s, time.Now()
@@ -344,7 +409,8 @@
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		gone = n == 0 && err == nil || err == syscall.ECONNRESET || err == syscall.EPIPE
+		// An error that doesn't pass has ended the connection.
+		gone = n == 0 && err == nil || err != nil && !IsTransient(err)
 	})
 	return gone || err != nil
 }
@@ -414,21 +480,3 @@
 	}
 	return c.Conn.Close()
 }
-
-// listener gives each client a place before it is served.
-type listener struct {
-	net.Listener
-	clients *clients
-	end     <-chan struct{}
-}
-
-func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if c := l.clients.add(raw, l.end); c != nil {
-		return c, nil
-	}
-	return nil, net.ErrClosed
-}
