Test stewards whose writes and syncs fail for a while, with a kill in the midst

Change: TestDiskFailsForAWhile plays three faults of the leader's system calls on one and three stewards, with and without a kill, by syscallfault; the log has to show that the disk failed. The wait of TestIdleGiveWay is bounded, as a run of internal/agent had hung.

--- /dev/null
+++ b/cmd/steward/disk_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"molepaddle/internal/lab/syscallfault"
+)
+
+// diskFault is the leader of some stewards with a disk that fails while a file is there.
+type diskFault struct {
+	*fleet
+	victim string
+	while  string
+}
+
+func newDiskFault(t *testing.T, n int, faults string) *diskFault {
+	t.Helper()
+	f := emptyFleet(t, n)
+	d := &diskFault{fleet: f, while: filepath.Join(f.dir, "failing")}
+	for _, name := range f.names {
+		f.configure(name, f.names)
+		p := f.all[name].proc
+		p.Env = append(p.Env, syscallfault.FaultsVariable+"="+faults, syscallfault.WhileVariable+"="+d.while+"-"+name)
+		f.start(name)
+	}
+	d.victim = f.leader()
+	return d
+}
+
+// fail has the victim's disk fail from now on, or no more.
+func (d *diskFault) fail(on bool) {
+	d.t.Helper()
+	var err error
+	if file := d.while + "-" + d.victim; on {
+		err = os.WriteFile(file, nil, 0o600)
+	} else {
+		err = os.Remove(file)
+	}
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// A disk whose writes or syncs fail for a while, and a kill in the midst of it, cost nothing that was
+// acknowledged, and writes are taken again once it is well. A steward that ended is started anew, as
+// its platform would; it has said why in one line.
+func TestDiskFailsForAWhile(t *testing.T) {
+	for _, faults := range []string{"fdatasync:EIO", "pwrite64:ENOSPC", "pwrite64:EIO,fdatasync:EIO"} {
+		for _, n := range []int{1, 3} {
+			for _, killed := range []bool{false, true} {
+				t.Run(fmt.Sprint(faults, n, killed), func(t *testing.T) {
+					t.Parallel()
+					d := newDiskFault(t, n, faults)
+					acked := map[string]float64{}
+					write := func(span time.Duration, from int) {
+						for i, end := from, time.Now().Add(span); time.Now().Before(end); i++ {
+							name := fmt.Sprint("server-", i%50)
+							ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+							if _, err := d.client(d.names...).Register(ctx, entry(name, float64(i))); err == nil {
+								acked[name] = float64(i)
+							} else {
+								time.Sleep(10 * time.Millisecond)
+							}
+							cancel()
+						}
+					}
+					write(time.Second, 1)
+					before := len(acked)
+					d.fail(true)
+					write(2*time.Second, 100_000)
+					proc := d.all[d.victim].proc
+					if killed {
+						d.kill(d.victim)
+					}
+					d.fail(false)
+					select {
+					case <-proc.Ended():
+						d.start(d.victim)
+					default:
+					}
+					write(time.Second, 200_000)
+					d.register("after", 1)
+					if before == 0 {
+						t.Fatal("nothing was taken before")
+					}
+					d.until("all that was acknowledged is there", func() bool {
+						all, err := d.client(d.names...).Servers(context.Background(), true)
+						if err != nil {
+							return false
+						}
+						have := map[string]float64{}
+						for _, e := range all {
+							have[e.Host.Host] = e.Host.BornMs
+						}
+						for name, born := range acked {
+							if have[name] < born {
+								t.Fatalf("%s was acknowledged with %v, there is %v", name, born, have[name])
+							}
+						}
+						return true
+					})
+					text, _ := os.ReadFile(proc.Log)
+					if !strings.Contains(string(text), "input/output error") && !strings.Contains(string(text), "no space left on device") {
+						t.Error("its disk never failed")
+					}
+					if strings.Contains(string(text), "goroutine ") {
+						t.Errorf("said %q", text[max(0, len(text)-2000):])
+					}
+				})
+			}
+		}
+	}
+}
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -21,12 +21,16 @@
 	"molepaddle/internal/lab/link"
 	"molepaddle/internal/lab/loopback"
 	"molepaddle/internal/lab/process"
+	"molepaddle/internal/lab/syscallfault"
 )
 
 // TestMain makes the test binary a steward when it is started as one.
 func TestMain(m *testing.M) {
 	if os.Getenv("STEWARD_CHILD") == "1" {
 		os.Unsetenv("STEWARD_CHILD")
+		if err := syscallfault.FromEnvironment(); err != nil {
+			panic(err)
+		}
 		adjust = unlike
 		main()
 		os.Exit(0)
--- a/internal/agent/peer_test.go
+++ b/internal/agent/peer_test.go
@@ -140,9 +140,7 @@
 	if closed == 0 || closed == a.clients.most {
 		t.Fatalf("%d of %d were told to close, want those that found few places left", closed, a.clients.most)
 	}
-	for a.clients.count() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	until(t, "idle connections give their places back", func() bool { return a.clients.count() == 0 })
 	if status, _, _ := do(t, call(base, "order")); status != 200 {
 		t.Fatalf("answered %d", status)
 	}
