--- a/cmd/steward/disk_test.go
+++ b/cmd/steward/syscalls_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
+	"molepaddle/internal/endpoints"
 	"molepaddle/internal/lab/syscallfault"
 )
 
-// diskFault is the leader of some stewards with a disk that fails while a file is there.
+// diskFault is the leader of some stewards with system calls, of its disk above all, that fail while a
+// file is there.
 type diskFault struct {
 	*fleet
 	victim string
@@ -117,3 +121,34 @@
 		}
 	}
 }
+
+// A steward whose connections can't be accepted for a moment, whatever the error, is heard again right
+// after.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	for _, errno := range []string{"ECONNABORTED", "ENFILE", "ENOBUFS", "EPROTO", "ENETDOWN", "EPERM", "EHOSTUNREACH"} {
+		t.Run(errno, func(t *testing.T) {
+			t.Parallel()
+			d := newDiskFault(t, 1, "accept4:"+errno)
+			d.register("before", 1)
+			d.fail(true)
+			for range 3 { // a connection that waits has the calls fail
+				if c, err := net.DialTimeout("tcp", d.all[d.victim].http, time.Second); err == nil {
+					defer c.Close()
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			d.fail(false)
+			fresh := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			for end := time.Now().Add(3 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+				resp, err := fresh.Get("http://" + d.all[d.victim].http + endpoints.Path)
+				if err == nil {
+					resp.Body.Close()
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatalf("not heard again within 3 s: %v", err)
+				}
+			}
+		})
+	}
+}
