Have stewards accept again after errors that pass; one package for these, shared

Cause: http.Serve's error was dropped, and with it the steward's ears: after one EPROTO, ENETDOWN, ENOBUFS, EPERM or EHOSTUNREACH of accept it ran on and refused every connection.

--- a/cmd/molepaddle/main.go
+++ b/cmd/molepaddle/main.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"molepaddle/internal/agent"
+	"molepaddle/internal/transient"
 )
 
 // startWithin is how long the calls of a start may go on failing: an agent has to be ready within
@@ -36,7 +37,7 @@
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	var conf *agent.Config
-	err := agent.Retry(ctx, startWithin, func() (err error) {
+	err := transient.Retry(ctx, startWithin, func() (err error) {
 		conf, err = agent.LoadConfig(path)
 		return err
 	})
@@ -55,7 +56,7 @@
 		return err
 	}
 	var ln net.Listener
-	err = agent.Retry(ctx, startWithin, func() (err error) {
+	err = transient.Retry(ctx, startWithin, func() (err error) {
 		ln, err = net.Listen("tcp", conf.Listen)
 		return err
 	})
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"molepaddle/internal/transient"
 	"molepaddle/policy"
 )
 
@@ -93,6 +94,22 @@
 	return &conn{Conn: c, dialer: d, framing: framing{answerEnd: answerEnd{ended: true}}}, nil
 }
 
+// connectThrough connects again while a connect fails for want of something on this machine or of a
+// way through the network, as long as the context lets it. What is left then is wrapped in errSockets
+// where this machine is to blame.
+func connectThrough(ctx context.Context, connect func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
+	for tries := 0; ; tries++ {
+		c, err := connect(ctx)
+		local := transient.IsLocal(err)
+		if err == nil || !local && !transient.IsNetwork(err) || !transient.Pause(ctx, tries) {
+			if local {
+				err = errors.Join(errSockets, err)
+			}
+			return c, err
+		}
+	}
+}
+
 // conn is a connection to a backend. It knows the attempt that it carries and asks
 // it before a byte goes out.
 type conn struct {
--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"molepaddle/internal/transient"
 )
 
 const (
@@ -410,7 +412,7 @@
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		// An error that doesn't pass has ended the connection.
-		gone = n == 0 && err == nil || err != nil && !IsTransient(err)
+		gone = n == 0 && err == nil || err != nil && !transient.Is(err)
 	})
 	return gone || err != nil
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -17,6 +17,7 @@
 	"molepaddle/internal/catalog"
 	"molepaddle/internal/duty"
 	"molepaddle/internal/gossip"
+	"molepaddle/internal/transient"
 )
 
 const (
@@ -115,6 +116,13 @@
 	return n
 }
 
+// acceptFailed is told of a connection that could not be accepted.
+func (n *Node) acceptFailed(err error, _ time.Time) {
+	if n.repeatedLogs.Allow() {
+		n.log.Warn("accept failed", "err", err)
+	}
+}
+
 // start listens before raft runs: another steward's first start asks this one for its status.
 func (n *Node) start(ctx context.Context) error {
 	ln, err := net.Listen("tcp", n.c.Listen)
@@ -128,7 +136,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
-	n.own(func() { _ = n.http.Serve(ln) })
+	n.own(func() { _ = n.http.Serve(&transient.Listener{Listener: ln, Context: n.ctx, Failed: n.acceptFailed}) })
 	n.own(func() { n.hub.run(n.ctx) })
 	if err := n.startRaft(ctx); err != nil {
 		return err
--- /dev/null
+++ b/internal/transient/transient.go
@@ -0,0 +1,92 @@
+// Package transient tells the errors of system calls that pass from those that last, and makes calls
+// again that failed for a moment. It is the agent's and the control plane's alike.
+package transient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// The errors of system calls that pass (accept(2), socket(2), connect(2), open(2)). What the machine
+// lacks for a moment says nothing of the other side; what the network lacks may.
+var (
+	localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+		syscall.EADDRINUSE, syscall.EAGAIN, syscall.EINTR}
+	networkErrors = []error{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENONET}
+	// lastingErrors of accept mean that there is no listening socket any more.
+	lastingErrors = []error{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP, syscall.EFAULT}
+)
+
+func isAny(err error, of []error) bool {
+	return slices.ContainsFunc(of, func(e error) bool { return errors.Is(err, e) })
+}
+
+// Is tells whether a call that failed so may go well a moment later, as it failed for want
+// of something on this machine, or in reading from it.
+func Is(err error) bool { return isAny(err, localErrors) || errors.Is(err, syscall.EIO) }
+
+const (
+	// firstWait is the time between tries of a call that failed for a moment, which grows to MaxWait: clients wait in the listener's queue meanwhile, and their time runs.
+	firstWait, MaxWait = 2 * time.Millisecond, 20 * time.Millisecond
+)
+
+// IsLocal tells whether a call failed for want of something on this machine.
+func IsLocal(err error) bool { return isAny(err, localErrors) }
+
+// IsNetwork tells whether a connect failed for want of a way through the network.
+func IsNetwork(err error) bool { return isAny(err, networkErrors) }
+
+// Pause waits before the next try, for longer the more there were, and tells whether there is one.
+func Pause(ctx context.Context, tries int) bool {
+	t := time.NewTimer(min(firstWait<<min(tries, 10), MaxWait))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Retry makes a call again for as long as it fails in a way that passes, until the time is over or
+// the context ends. It returns the last error.
+func Retry(ctx context.Context, within time.Duration, call func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for tries := 0; ; tries++ {
+		err := call()
+		if err == nil || !Is(err) || !Pause(ctx, tries) {
+			return err
+		}
+	}
+}
+
+// Listener accepts connections whatever accept(2) says, but for errors that last.
+type Listener struct {
+	net.Listener
+	// Context ends the waits between tries.
+	Context context.Context
+	// Failed is told of each try that failed, and when it began; nil: nobody is.
+	Failed func(err error, began time.Time)
+}
+
+// Accept waits for a connection. Its error is net.ErrClosed, or one that lasts.
+func (l *Listener) Accept() (net.Conn, error) {
+	for tries := 0; ; tries++ {
+		began := time.Now()
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) || isAny(err, lastingErrors) {
+			return c, err
+		}
+		if l.Failed != nil {
+			l.Failed(err, began)
+		}
+		if !Pause(l.Context, tries) {
+			return nil, net.ErrClosed
+		}
+	}
+}
