Leave 0.15 s of a repeat's window to a process that is held up

Cause: windowLeft left two rounds (10 ms) of a window, and an agent may be held up for 0.15 s between reading its clock and writing, so that a repeat could arrive up to 0.1 s after its key was forgotten. Change: heldUp comes off the window; a window of 0.15 s and less allows no repeat. The tests that named the margin name the new one, with their windows as much longer where they stand on what is left. Lines on servers that are new to the agent are not logged: they filled the room for lines at each start.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -655,7 +655,8 @@
 // applyEntry takes one entry over into its backend and the connections to it.
 func (l *loop) applyEntry(h *endpoints.Host, entry *policy.Entry, version int64) {
 	b := l.backends[entry.Server]
-	if b == nil {
+	added := b == nil
+	if added {
 		if entry.Health == policy.Gone {
 			return
 		}
@@ -672,7 +673,9 @@
 	}
 	if usable := entry.Health == policy.Ready; usable != b.usable {
 		b.usable = usable
-		l.traceHealth(h, version)
+		if !added {
+			l.traceHealth(h, version)
+		}
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,6 +61,9 @@
 	// warm ones answer at most all that they can, and may save three quarters of it by
 	// their warm keys.
 	coldMargin = 4.0
+	// heldUp is how long, in ms, an agent may be held up between reading its clock and writing:
+	// what may not arrive late is due so much earlier (STANDING, "What production adds").
+	heldUp = 150.0
 	// leastProbes bounds the validations under way at once.
 	leastProbes = 2
 
@@ -478,7 +481,7 @@
 	if r.risky == 0 || c.Effect != Guarded {
 		return math.Inf(1)
 	}
-	return r.ranAt + c.KeyTTLMs - 2*b.set.RoundMs - b.now
+	return r.ranAt + c.KeyTTLMs - heldUp - 2*b.set.RoundMs - b.now
 }
 
 func (b *Balancer) send(r *request, s *server) bool {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -238,7 +238,7 @@
 	if a == nil || r.b.byAddr[a.Server].cell != r.b.byAddr[s].cell {
 		t.Fatalf("a guarded repeat did not stay in its cell: %+v", actions)
 	}
-	r.now += 496 // just inside the 500 ms less the margin
+	r.now += 346 // just inside the 500 ms less the margins
 	actions = r.outcome(id, 1, a.Server, Error, 20)
 	if find(actions, ActSend) != nil || find(actions, ActFail) == nil && len(r.b.held) == 0 {
 		t.Errorf("a guarded repeat went out after its time: %+v", actions)
@@ -256,14 +256,14 @@
 	}
 	r.now += 200
 	a := find(r.outcome(id, 0, first.Server, Error, 20), ActSend)
-	if want := 500 - 200 - 2*5.0; a == nil || a.ByMs != want {
+	if want := 500 - 200 - 150 - 2*5.0; a == nil || a.ByMs != want {
 		t.Fatalf("the repeat may go until %+v, want %.0f ms", a, want)
 	}
 	r.now += 50
-	if a = find(r.outcome(id, 1, a.Server, ConnectFailed, 20), ActSend); a == nil || a.ByMs != 240 {
-		t.Fatalf("one after a connect that failed may go until %+v, want 240 ms", a)
+	if a = find(r.outcome(id, 1, a.Server, ConnectFailed, 20), ActSend); a == nil || a.ByMs != 90 {
+		t.Fatalf("one after a connect that failed may go until %+v, want 90 ms", a)
 	}
-	r.now += 240
+	r.now += 90
 	if actions = r.outcome(id, 2, a.Server, ConnectFailed, 20); find(actions, ActFail) == nil {
 		t.Fatalf("not answered when the window was over: %+v", actions)
 	}
@@ -277,7 +277,7 @@
 	}
 	// One that is held for room ends with its window, too.
 	set := testSettings()
-	set.Classes[2].KeyTTLMs = 100
+	set.Classes[2].KeyTTLMs = 250
 	r = newRig(t, set, 6)
 	id, actions = r.ask(2, 5)
 	first = find(actions, ActSend)
