Split the decisions and the agent's loop by job: pick, health, lists

Change: policy/pick.go has which server gets a request, policy/health.go what follows from an attempt's end, internal/agent/lists.go what the loop does with lists and discovery; backends' own functions stand with the backend.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -45,6 +45,27 @@
 	attempts  map[*attempt]struct{} // out now
 }
 
+// withdraw stops the attempts of which no byte has gone out, and closes the connections
+// that stand idle: a backend that drains, is gone or is another now gets nothing more.
+func (b *backend) withdraw() {
+	for a := range b.attempts {
+		if a.withdraw() {
+			a.cancel(errDrained)
+		}
+	}
+	b.transport.CloseIdleConnections()
+}
+
+// drop forgets a backend that is not to be sent to and has no attempt out.
+func (l *loop) drop(b *backend) {
+	if !b.usable && len(b.attempts) == 0 {
+		b.transport.CloseIdleConnections()
+		if l.backends[b.addr] == b {
+			delete(l.backends, b.addr)
+		}
+	}
+}
+
 // dialer opens connections to backends within the process's share of descriptors.
 type dialer struct {
 	connect func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,7 +6,8 @@
 )
 
 // This file holds what a Balancer remembers and plain arithmetic on it; the
-// decisions are in policy.go, list.go, unconfirmed.go and crowd.go.
+// decisions are in policy.go, pick.go, health.go, list.go, unconfirmed.go
+// and crowd.go.
 
 // server is what the agent knows of one listed server.
 type server struct {
@@ -332,3 +333,11 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// overShare tells whether a tenant sends more than its portion of what comes.
+func (b *Balancer) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(b.usage) {
+		return false
+	}
+	return b.usage[tenant] > 1.1*b.set.Tenants[tenant].Portion
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -3,7 +3,7 @@
 // and when to give up. It is a state machine without I/O: the caller hands in
 // events with a clock and carries out the actions that come back, in order.
 //
-// The decisions are in policy.go, list.go, unconfirmed.go and crowd.go; this file holds the interface only.
+// The decisions are in policy.go, pick.go, health.go, list.go, unconfirmed.go and crowd.go; this file holds the interface only.
 package policy
 
 // Addr names a server: four bytes of address and a port. It has no meaning
