Doubt no server for a fetch that ended behind its head; a request's time is now at the latest

Cause: read in the change: a fetch whose head came and whose list didn't was taken for a list cut in its midst, so that a discovery that stalls would have had all servers held back; and a connection whose first bytes were never noted would have given a request the zero time. Change: a part has to have a byte of the list; requestCame falls back to now. Result: TestPartOfAFetchedList fails without the first; tests of endpoints and of the agent's lists and deadlines pass.

--- a/internal/agent/clients.go
+++ b/internal/agent/clients.go
@@ -343,10 +343,14 @@
 	c.next = time.Time{}
 }
 
-// requestCame is when the request that was read came at the earliest: its time runs from then on.
-func (c *clientConn) requestCame() time.Time {
+// requestCame is when the request that was read came at the earliest, or now where that isn't known:
+// its time runs from then on.
+func (c *clientConn) requestCame(now time.Time) time.Time {
 	c.all.mu.Lock()
 	defer c.all.mu.Unlock()
+	if c.came.IsZero() {
+		return now
+	}
 	return c.came
 }
 
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -166,7 +166,7 @@
 	}
 	client, _ := hr.Context().Value(clientKey{}).(*clientConn)
 	if client != nil {
-		came = client.requestCame()
+		came = client.requestCame(came)
 	}
 	if client != nil && client.head.ambiguous(hr.ProtoAtLeast(1, 1)) {
 		w.Header().Set("Connection", "close")
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"bytes"
 	"context"
 	crand "crypto/rand"
 	"errors"
@@ -163,7 +164,10 @@
 		first := time.Now()
 		text, err := readList(resp.Body)
 		if err != nil {
-			c.part(resp, &asked, text, first)
+			// A head alone says nothing of the list: discovery may stall before it writes any of it.
+			if len(bytes.TrimSpace(text)) > 0 {
+				c.part(resp, &asked, text, first)
+			}
 			return err
 		}
 		if l, err = Parse(text); err != nil {
--- a/internal/endpoints/stream_test.go
+++ b/internal/endpoints/stream_test.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net/http"
 	"reflect"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -113,3 +116,23 @@
 		}
 	})
 }
+
+// A fetch that ends in the midst of its list gives the part that came; one that ends behind the head,
+// or with blanks alone, gives none: nothing of the list was written.
+func TestPartOfAFetchedList(t *testing.T) {
+	for body, want := range map[string]int{"": 0, " \n": 0, `{"seq":7,"whole":true,"hosts":[`: 1,
+		`{"seq":7,"hosts":[{"host":"a","dial":"127.0.0.1:9","health":"draining"},{"ho`: 1} {
+		var parts []List
+		cl := NewClient(ClientConfig{Addresses: names(1), Part: func(l List) { parts = append(parts, l) },
+			Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+				text := io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF))
+				return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(text), Request: r}, nil
+			})})
+		if _, err := cl.Fetch(t.Context(), 0); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q: %v", body, err)
+		}
+		if len(parts) != want || want > 0 && parts[0].Seq != 7 {
+			t.Errorf("%q: parts %+v, want %d", body, parts, want)
+		}
+	}
+}
