Accept again after EOPNOTSUPP, which accept passes on from a new connection

Cause: read in accept(2): EOPNOTSUPP stands among the errors that are pending on the new connection and are to be treated like EAGAIN; it was listed as one that lasts, and would have ended the agent. Change: it passes.

--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -17,8 +17,9 @@
 	localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
 		syscall.EADDRINUSE, syscall.EAGAIN, syscall.EINTR}
 	networkErrors = []error{syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENONET}
-	// lastingErrors of accept mean that there is no listening socket any more.
-	lastingErrors = []error{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EOPNOTSUPP, syscall.EFAULT}
+	// lastingErrors of accept mean that there is no listening socket any more. EOPNOTSUPP is none of
+	// them: accept passes errors on that are pending on the new connection (accept(2), "Error handling").
+	lastingErrors = []error{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT}
 )
 
 func isAny(err error, of []error) bool {
@@ -29,10 +30,9 @@
 // of something on this machine, or in reading from it.
 func Is(err error) bool { return isAny(err, localErrors) || errors.Is(err, syscall.EIO) }
 
-const (
-	// firstWait is the time between tries of a call that failed for a moment, which grows to MaxWait: clients wait in the listener's queue meanwhile, and their time runs.
-	firstWait, MaxWait = 2 * time.Millisecond, 20 * time.Millisecond
-)
+// firstWait is the time between tries of a call that failed for a moment, and grows to MaxWait: clients
+// wait in the listener's queue meanwhile, and their time runs.
+const firstWait, MaxWait = 2 * time.Millisecond, 20 * time.Millisecond
 
 // IsLocal tells whether a call failed for want of something on this machine.
 func IsLocal(err error) bool { return isAny(err, localErrors) }
