--- a/cmd/molepaddle/answers_test.go
+++ b/cmd/molepaddle/answers_test.go
@@ -11,9 +11,9 @@
 	"time"
 )
 
-// rawServer hands each request that comes to serve, with its connection, which is closed when
-// serve returns.
-func rawServer(t *testing.T, serve func(c *net.TCPConn, r *http.Request)) string {
+// rawListener hands the head of the first request on each connection to serve, with the number of the
+// connection, which is closed when serve returns.
+func rawListener(t *testing.T, serve func(c *net.TCPConn, n int, r *http.Request)) (addr string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -21,19 +21,15 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
-		for {
+		for n := 0; ; n++ {
 			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer c.Close()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, r.Body); err == nil {
-					serve(c.(*net.TCPConn), r)
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(c.(*net.TCPConn), n, r)
 				}
 			}()
 		}
@@ -41,6 +37,16 @@
 	return ln.Addr().String()
 }
 
+// rawServer hands each request to serve once it has come whole.
+func rawServer(t *testing.T, serve func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	return rawListener(t, func(c *net.TCPConn, _ int, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			serve(c, r)
+		}
+	})
+}
+
 // askBody sends one request and returns its answer's status and body.
 func askBody(listen, timeout string) (int, string, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+listen+"/order/u1", strings.NewReader("x"))
--- a/cmd/molepaddle/notified_test.go
+++ b/cmd/molepaddle/notified_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"net"
@@ -25,28 +24,9 @@
 
 // rawDiscovery answers the n-th call, from 0, with what serve writes. Its connections are closed
 // when serve returns.
-func rawDiscovery(t *testing.T, serve func(c net.Conn, n int, target string)) string {
+func rawDiscovery(t *testing.T, serve func(c net.Conn, n int)) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					serve(c, n, r.RequestURI)
-				}
-			}()
-		}
-	}()
-	return ln.Addr().String()
+	return rawListener(t, func(c *net.TCPConn, n int, _ *http.Request) { serve(c, n) })
 }
 
 // chunk is one piece of a chunked answer.
@@ -127,7 +107,7 @@
 	}
 	d.until = `{"seq":2,"whole":false,"hosts":[` + entry("s-1", drains, "draining")
 	d.text = d.until + "," + entry("s-2", stays, "ready") + "]}\n"
-	d.discovery = rawDiscovery(t, func(c net.Conn, n int, _ string) { serve(d, c, n) })
+	d.discovery = rawDiscovery(t, func(c net.Conn, n int) { serve(d, c, n) })
 	listen := freeAddr(t)
 	settings := strings.Replace(settings, `"drainGraceMs":250`, fmt.Sprintf(`"drainGraceMs":%d`, drainGrace.Milliseconds()), 1)
 	d.config = filepath.Join(t.TempDir(), "config.json")
@@ -278,7 +258,7 @@
 				wrote(d, c)
 				time.Sleep(1400 * time.Millisecond)
 			})
-			next := rawDiscovery(t, func(c net.Conn, n int, _ string) {
+			next := rawDiscovery(t, func(c net.Conn, n int) {
 				moved <- struct{}{}
 				time.Sleep(3 * time.Second)
 				fmt.Fprint(c, watchHead+chunk(d.text))
--- a/cmd/steward/faults_test.go
+++ b/cmd/steward/faults_test.go
@@ -512,22 +512,7 @@
 			f.kill(victim)
 			f.all[victim].proc = roomy
 			f.start(victim)
-			f.until("room again", func() bool {
-				all, err := f.client(f.names...).Servers(context.Background(), true)
-				if err != nil {
-					return false
-				}
-				have := map[string]float64{}
-				for _, e := range all {
-					have[e.Host.Host] = e.Host.BornMs
-				}
-				for name, born := range acked {
-					if have[name] < born {
-						t.Fatalf("%s was acknowledged with %v, there is %v", name, born, have[name])
-					}
-				}
-				return true
-			})
+			f.holds(acked)
 			f.register("after", 1)
 			if len(acked) < 100 {
 				t.Errorf("only %d names were taken", len(acked))
--- a/cmd/steward/fleet_test.go
+++ b/cmd/steward/fleet_test.go
@@ -269,6 +269,28 @@
 	return endpoints.Host{Host: name, Dial: "127.0.0.1:9", Site: "a", Class: "k", Health: endpoints.Ready, Share: 1, BornMs: born}
 }
 
+// holds waits until a consistent read is answered, and reports servers whose start is older in it than
+// what was acknowledged.
+func (f *fleet) holds(acked map[string]float64) {
+	f.t.Helper()
+	f.until("a consistent read", func() bool {
+		all, err := f.client(f.names...).Servers(context.Background(), true)
+		if err != nil {
+			return false
+		}
+		have := map[string]float64{}
+		for _, e := range all {
+			have[e.Host.Host] = e.Host.BornMs
+		}
+		for name, born := range acked {
+			if have[name] < born {
+				f.t.Fatalf("%s was acknowledged with %v, there is %v", name, born, have[name])
+			}
+		}
+		return true
+	})
+}
+
 // register writes until it is acknowledged, at whichever steward takes it.
 func (f *fleet) register(name string, born float64, at ...string) catalog.Result {
 	f.t.Helper()
--- a/cmd/steward/syscalls_test.go
+++ b/cmd/steward/syscalls_test.go
@@ -93,22 +93,7 @@
 					if before == 0 {
 						t.Fatal("nothing was taken before")
 					}
-					d.until("all that was acknowledged is there", func() bool {
-						all, err := d.client(d.names...).Servers(context.Background(), true)
-						if err != nil {
-							return false
-						}
-						have := map[string]float64{}
-						for _, e := range all {
-							have[e.Host.Host] = e.Host.BornMs
-						}
-						for name, born := range acked {
-							if have[name] < born {
-								t.Fatalf("%s was acknowledged with %v, there is %v", name, born, have[name])
-							}
-						}
-						return true
-					})
+					d.holds(acked)
 					text, _ := os.ReadFile(proc.Log)
 					if !strings.Contains(string(text), "input/output error") && !strings.Contains(string(text), "no space left on device") {
 						t.Error("its disk never failed")
