--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -914,6 +914,37 @@
 	}
 }
 
+// A call that comes at once behind a served subscription, and is refused, leaves the agent no later
+// than one that had waited first: the next comes within a second, in fleets of any size.
+func TestRefusedCallBehindAServedSubscription(t *testing.T) {
+	for _, agents := range []int{1, 40, 300} {
+		for seed := range uint64(50) {
+			set := testSettings()
+			set.Membership, set.Contract.AskWithinMs, set.Replicas = "on_request", 10000, agents
+			b, err := New(set, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := find(b.Start(0, nil), ActTimer).Ms
+			b.Handle(now, &Event{Kind: EvTimer, Token: followToken}, nil)
+			b.Handle(now, &Event{Kind: EvList, List: ListDelta}, nil)
+			ended := now + 3000
+			now = ended
+			for range 2 {
+				now += find(b.Handle(now, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer).Ms
+				b.Handle(now, &Event{Kind: EvTimer, Token: followToken}, nil)
+			}
+			if took := now - ended; took > servedWait+1000 {
+				t.Fatalf("%d agents, seed %d: the second call came %.0f ms after the end", agents, seed, took)
+			}
+			third := find(b.Handle(now, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer).Ms
+			if least := min(2000*float64(agents)/fewAgents, askAgain) / 2; agents >= 40 && third < least {
+				t.Fatalf("%d agents: the third call comes after %.0f ms, at least %.0f", agents, third, least)
+			}
+		}
+	}
+}
+
 // Whatever calls failed before, and however long each took to fail, the next one begins
 // within 4 s of the last one's begin: what discovery has to tell counts as told 6 s after
 // it could be reached. All agents' calls together stay few.
