Count a queued connection from its arrival also when the agent is held up

Callers saw: a request whose connection waited while accept(2) failed was forwarded with its full timeout (2,989 ms told, 2,400 ms left).

Cause: an accept that returned 22 ms or more after the last failure was taken for one that had found the kernel's queue empty, so the stall was forgotten; a backoff timer 2 ms late was enough.

Fix: poll(2) without waiting, asked only after a stall, tells whether the queue is empty and whether bytes had come with the connection. The stall lasts until the accept that ends it, not until a planned timer.

Evidence: TestArrivalWhileAcceptsFail (new) forces the late accept.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -50,7 +50,7 @@
 		c.readAheadBuf = c.readAheadBuf[n:]
 		c.head.scan(p[:n])
 		if c.stage == connIdle {
-			c.beginRequest(0)
+			c.beginRequest(true)
 		}
 		c.noteRead(n, len(p))
 		c.owner.mu.Unlock()
@@ -63,6 +63,8 @@
 	c.owner.mu.Unlock()
 
 	startedAt := time.Now()
+	queued := c.wasQueued(startedAt)
+	pending := queued && mayBeReadable(c.Conn)
 	n, err := c.Conn.Read(p)
 	c.owner.mu.Lock()
 	c.peerEnded = c.peerEnded || err != nil && !os.IsTimeout(err)
@@ -72,7 +74,7 @@
 		return 0, c.linger()
 	}
 	if n > 0 && c.stage == connIdle {
-		c.beginRequest(time.Since(startedAt))
+		c.beginRequest(pending || !queued && time.Since(startedAt) < minBlockingWait)
 	}
 	c.noteRead(n, len(p))
 	c.owner.mu.Unlock()
@@ -91,17 +93,26 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// beginRequest records that the first bytes of a request were read after a wait, and when they
-// arrived at the earliest. A pipelined request counts from the arrival of its first byte. The lock
-// must be held.
-func (c *clientConn) beginRequest(waited time.Duration) {
+// wasQueued reports whether the connection has waited before its first read, in the kernel or for
+// its place. Only then is the operating system asked whether bytes had arrived meanwhile; on a
+// fresh connection the duration of the read tells.
+func (c *clientConn) wasQueued(readAt time.Time) bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.stage == connIdle && !c.answered && !c.connectedAt.IsZero() && readAt.Sub(c.connectedAt) >= minBlockingWait
+}
+
+// beginRequest records that the first bytes of a request were read, whether they may have arrived
+// with the connection, and when they arrived at the earliest. A pipelined request counts from the
+// arrival of its first byte. The lock must be held.
+func (c *clientConn) beginRequest(mayHaveComeWithConnection bool) {
 	c.setStage(connReading)
 	now := time.Now()
 	switch {
 	case !c.nextArrivedAt.IsZero():
 		c.requestArrivedAt = c.nextArrivedAt
-	case !c.answered && !c.connectedAt.IsZero() && waited < minBlockingWait:
-		c.requestArrivedAt = c.connectedAt // it may have arrived with the connection
+	case !c.answered && !c.connectedAt.IsZero() && mayHaveComeWithConnection:
+		c.requestArrivedAt = c.connectedAt
 	default:
 		c.requestArrivedAt = now
 	}
--- a/internal/agent/listener.go
+++ b/internal/agent/listener.go
@@ -12,8 +12,8 @@
 const (
 	// acceptLogInterval is the shortest time between two log lines about failed accepts.
 	acceptLogInterval = time.Second
-	// minBlockingWait is the shortest duration of an accept that found the queue empty, and of a
-	// first read that found no request.
+	// minBlockingWait is the shortest duration of a wait for a connection's place that counts as a
+	// stall, and of a first read on a fresh connection that found no request.
 	minBlockingWait = 2 * time.Millisecond
 	// queueDrainTime is how long the queue takes to drain after a stall, at most.
 	queueDrainTime = time.Second
@@ -54,15 +54,29 @@
 
 // accept waits for a connection and records how long connections may have been queued.
 func (l *listener) accept() (net.Conn, error) {
-	startedAt, minBlocked := time.Now(), minBlockingWait
-	accepting := transient.Listener{Listener: l.Listener, Context: l.ctx, OnError: func(err error, since time.Time) {
-		l.logFailure(err)
-		startedAt, minBlocked = time.Now(), minBlockingWait+transient.MaxWait
-		l.queue.noteStall(since, startedAt.Add(transient.MaxWait))
-	}}
+	failed := false
+	accepting := transient.Listener{
+		Listener: l.Listener,
+		Context:  l.ctx,
+		OnAttempt: func(began time.Time) {
+			if failed {
+				l.queue.extendStall(began)
+			}
+			// The duration of an accept does not tell whether the queue was empty: a process that
+			// got no processor for a moment looks the same.
+			if l.queue.stalled() && !mayBeReadable(l.Listener) {
+				l.queue.noteEmpty()
+			}
+		},
+		OnError: func(err error, began time.Time) {
+			failed = true
+			l.logFailure(err)
+			l.queue.noteStall(began, time.Now())
+		},
+	}
 	raw, err := accepting.Accept()
-	if time.Since(startedAt) >= minBlocked {
-		l.queue.noteEmpty()
+	if failed {
+		l.queue.extendStall(time.Now())
 	}
 	return raw, err
 }
@@ -83,19 +97,29 @@
 
 // noteStall records that no connection was accepted between from and to.
 func (q *acceptQueue) noteStall(from, to time.Time) {
-	if q.stalledFrom.IsZero() || from.Sub(q.stalledUntil) > queueDrainTime {
+	if !q.stalled() || from.Sub(q.stalledUntil) > queueDrainTime {
 		q.stalledFrom = from
 	}
 	q.stalledUntil = to
 }
 
+// extendStall records that the last stall goes on until to, if there is one.
+func (q *acceptQueue) extendStall(to time.Time) {
+	if q.stalled() {
+		q.stalledUntil = to
+	}
+}
+
+// stalled reports whether there was a stall since the queue was last known to be empty.
+func (q *acceptQueue) stalled() bool { return !q.stalledFrom.IsZero() }
+
 // noteEmpty records that no connection was queued.
 func (q *acceptQueue) noteEmpty() { q.stalledFrom, q.stalledUntil = time.Time{}, time.Time{} }
 
 // earliestArrival returns the earliest time at which a connection that is accepted now may have
 // arrived: not before the stall, and no longer ago than the stall lasted.
 func (q *acceptQueue) earliestArrival(now time.Time) time.Time {
-	if q.stalledFrom.IsZero() || now.Sub(q.stalledUntil) > queueDrainTime {
+	if !q.stalled() || now.Sub(q.stalledUntil) > queueDrainTime {
 		return now
 	}
 	if earliest := now.Add(-q.stalledUntil.Sub(q.stalledFrom)); earliest.After(q.stalledFrom) {
--- a/internal/agent/listener_test.go
+++ b/internal/agent/listener_test.go
@@ -1,6 +1,10 @@
 package agent
 
 import (
+	"context"
+	"log/slog"
+	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -37,3 +41,76 @@
 		}
 	}
 }
+
+// failingListener is a TCP listener whose first accepts fail, and whose next one is held up.
+type failingListener struct {
+	*net.TCPListener
+	failures int
+	heldUp   time.Duration
+}
+
+// Accept fails, or accepts a connection after the delay.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, syscall.ENFILE
+	}
+	time.Sleep(l.heldUp)
+	return l.TCPListener.Accept()
+}
+
+// startFailingListener returns a listener whose first ten accepts fail and whose next ones are held
+// up, and its address.
+func startFailingListener(t *testing.T, heldUp time.Duration) (l *listener, addr string) {
+	t.Helper()
+	socket, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	failing := &failingListener{TCPListener: socket, failures: 10, heldUp: heldUp}
+	l = &listener{Listener: failing, clients: newClientConns(10), ctx: context.Background(), log: slog.New(slog.DiscardHandler)}
+	return l, socket.Addr().String()
+}
+
+// dial connects to addr and returns when the connection was made.
+func dial(t *testing.T, addr string) time.Time {
+	t.Helper()
+	client, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	return time.Now()
+}
+
+// acceptedArrival accepts a connection and returns from when its requests count.
+func acceptedArrival(t *testing.T, l *listener) time.Time {
+	t.Helper()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return accepted.(*clientConn).connectedAt
+}
+
+// A connection that waited while accepts failed counts from its arrival, however late the accept
+// that succeeds begins and returns. One that arrives once the queue is empty does not count from
+// the time of the failures.
+func TestArrivalWhileAcceptsFail(t *testing.T) {
+	const slack = 5 * time.Millisecond
+	for _, heldUp := range []time.Duration{0, minBlockingWait, 50 * time.Millisecond} {
+		l, addr := startFailingListener(t, heldUp)
+		arrivedAt := dial(t, addr)
+		if late := acceptedArrival(t, l).Sub(arrivedAt); late > slack {
+			t.Errorf("held up %v: the connection counts from %v after its arrival", heldUp, late)
+		}
+		nextArrivedAt := make(chan time.Time, 1)
+		time.AfterFunc(20*time.Millisecond, func() { nextArrivedAt <- dial(t, addr) })
+		countsFrom := acceptedArrival(t, l)
+		if early := (<-nextArrivedAt).Sub(countsFrom); early > slack {
+			t.Errorf("held up %v: the next connection counts from %v before its arrival", heldUp, early)
+		}
+	}
+}
--- a/internal/transient/transient.go
+++ b/internal/transient/transient.go
@@ -79,6 +79,8 @@
 	net.Listener
 	// Context ends the wait between two attempts.
 	Context context.Context
+	// OnAttempt, if not nil, is called right before each attempt.
+	OnAttempt func(began time.Time)
 	// OnError, if not nil, receives the error of each failed attempt and when the attempt began.
 	OnError func(err error, began time.Time)
 }
@@ -88,6 +90,9 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	for retries := 0; ; retries++ {
 		began := time.Now()
+		if l.OnAttempt != nil {
+			l.OnAttempt(began)
+		}
 		conn, err := l.Listener.Accept()
 		if err == nil || errors.Is(err, net.ErrClosed) || matchesAny(err, permanentErrors) {
 			return conn, err
