Never suspend the control plane's own tasks for the deaths of their holders

Callers saw: a server that stopped renewing stayed listed without end.

Cause: catalog.State.countHolderDeath has no exemption for these tasks.

Fix, in what the leader proposes, so that old and new replicas agree: no death is counted for an essential task, and the leader resumes one that a leader of an earlier build has suspended (recognised by its count and reason, so an operator's park stays; suspendMu orders the two). Users' tasks are suspended as before.

TestEssentialTasksStayGranted holds the decision.

--- a/internal/catalog/leasedtask_test.go
+++ b/internal/catalog/leasedtask_test.go
@@ -271,3 +271,51 @@
 		t.Errorf("the task that crashes its holders: %+v; the task beside it: %+v", s.LeasedTasks["crashing"], s.LeasedTasks["harmless"])
 	}
 }
+
+// suspendForDeaths has three holders of a task die, as a leader that counts the deaths proposes it.
+func suspendForDeaths(t *testing.T, s *State, name string) {
+	t.Helper()
+	for range suspendAfterDeaths {
+		apply(s, s.Clock, Command{Kind: GrantTerm, Terms: []TermRef{{Name: name, Process: "p", Session: "i"}}})
+		apply(s, s.Clock, Command{Kind: ExpireTerm, Terms: []TermRef{{Name: name, Fence: s.LeasedTasks[name].Fence, CountDeath: true}}})
+	}
+	if !s.SuspendedForDeaths(name) {
+		t.Fatalf("after %d deaths: %+v", suspendAfterDeaths, s.LeasedTasks[name])
+	}
+}
+
+// TestEssentialTasksStayGranted holds that the deaths of the holders of an essential task never
+// suspend it, that one which an earlier build has suspended is resumed, and that an operator's
+// suspension stays.
+func TestEssentialTasksStayGranted(t *testing.T) {
+	s := New()
+	for _, name := range []string{"sweep", "old", "operator", "users"} {
+		apply(s, 0, Command{Kind: DefineTask, LeasedTask: &LeasedTask{Name: name, TTL: time.Second}})
+	}
+	apply(s, 0, Command{Kind: OpenSession, Session: &Session{Process: "p", ID: "i", MaxTasks: 9}})
+	for _, name := range []string{"old", "operator", "users"} {
+		suspendForDeaths(t, s, name)
+	}
+	apply(s, 0, Command{Kind: Suspend, Name: "operator", Reason: "until tomorrow"})
+	apply(s, 0, Command{Kind: CloseSession, Session: &Session{Process: "p", ID: "i"}})
+	leases, now := NewTaskLeases(0), time.Duration(0)
+	leases.Essential = map[string]bool{"sweep": true, "old": true, "operator": true, "undefined": true}
+	for life := range 2 * suspendAfterDeaths { // each process dies as soon as it holds the tasks
+		apply(s, now, Command{Kind: OpenSession, Session: &Session{Process: "q", ID: fmt.Sprint("q-", life), MaxTasks: 9}})
+		for range 60 {
+			now += 100 * time.Millisecond
+			for _, c := range leases.Decide(s, now) {
+				apply(s, now, c)
+			}
+		}
+	}
+	for name, wantReason := range map[string]string{"sweep": "", "old": "", "operator": "until tomorrow", "users": deathsReason(suspendAfterDeaths)} {
+		task := s.LeasedTasks[name]
+		if task.SuspendReason != wantReason {
+			t.Errorf("%s is suspended for %q, want %q", name, task.SuspendReason, wantReason)
+		}
+		if terms := len(task.History); wantReason == "" && terms < suspendAfterDeaths {
+			t.Errorf("%s was granted %d times", name, terms)
+		}
+	}
+}
--- a/internal/catalog/taskleases.go
+++ b/internal/catalog/taskleases.go
@@ -27,6 +27,9 @@
 	// Absent is set by the caller before each Decide: the processes that are not present in the
 	// membership view. They are given a task only if no other process can take it.
 	Absent map[string]bool
+	// Essential is set by the caller: the tasks of the control plane itself, by name. They are not
+	// suspended for the deaths of their holders, as nothing else would do their work.
+	Essential map[string]bool
 
 	leaderSince time.Duration
 	lastRenewal map[string]time.Duration // by session ID
@@ -106,13 +109,14 @@
 }
 
 // Decide returns the commands that the leader is to propose now, in order: terms that expire,
-// transfers that were not accepted in time, sessions to close, and then the grants of tasks
+// transfers that were not accepted in time, essential tasks to resume, sessions to close, and then the grants of tasks
 // that no process holds, or else transfers from draining processes, or else transfers that even
 // out the load.
 func (t *TaskLeases) Decide(s *State, now time.Duration) []Command {
 	scan := t.scan(s, now)
 	commands := appendTerms(nil, ExpireTerm, scan.expired)
 	commands = appendTerms(commands, TransferTask, scan.unaccepted)
+	commands = t.appendResumes(commands, s)
 	t.dropClosedSessions(s)
 	commands = t.appendIdleSessions(commands, s, now, scan.sessionsWithTasks)
 
@@ -189,7 +193,7 @@
 
 // attributeDeaths marks, of each session's expired terms, the one that may have killed the
 // process: the last that was granted, if the session was last renewed less than
-// deathAttributionWindow after the grant.
+// deathAttributionWindow after the grant. An essential task is never marked.
 func (t *TaskLeases) attributeDeaths(s *State, scan *taskScan) {
 	lastGranted := map[string]int{} // index in expired, by session ID
 	for i, term := range scan.expired {
@@ -200,11 +204,25 @@
 	}
 	for _, i := range lastGranted {
 		task := s.LeasedTasks[scan.expired[i].Name]
+		if t.Essential[task.Name] {
+			continue
+		}
 		session := s.holderSession(task)
 		scan.expired[i].CountDeath = session == nil || t.latestRenewal(session) < task.HolderSince+deathAttributionWindow
 	}
 }
 
+// appendResumes appends commands that resume the essential tasks that a leader of an earlier build
+// has had suspended for the deaths of their holders.
+func (t *TaskLeases) appendResumes(commands []Command, s *State) []Command {
+	for _, name := range sortedKeys(t.Essential) {
+		if s.SuspendedForDeaths(name) {
+			commands = append(commands, Command{Kind: Resume, Name: name})
+		}
+	}
+	return commands
+}
+
 // dropClosedSessions drops what is recorded of sessions that are not open any more.
 func (t *TaskLeases) dropClosedSessions(s *State) {
 	open := map[string]bool{}
--- a/internal/catalog/term.go
+++ b/internal/catalog/term.go
@@ -149,7 +149,7 @@
 }
 
 // acceptTransfer records that the successor of a task is ready, so that the holder is asked to
-// stop. The revision of the successor's own session stays, though its assignments change too.
+// stop. The assignments of the successor itself stay as they are.
 func (s *State) acceptTransfer(task *LeasedTask, process, sessionID string) Result {
 	session := s.Sessions[process]
 	if task.Successor != process || session == nil || session.ID != sessionID {
@@ -226,10 +226,22 @@
 func (s *State) countHolderDeath(task *LeasedTask) {
 	task.HolderDeaths++
 	if task.HolderDeaths >= suspendAfterDeaths && task.Holder == "" {
-		task.SuspendReason = fmt.Sprintf("its last %d holders ended in it", task.HolderDeaths)
+		task.SuspendReason = deathsReason(task.HolderDeaths)
 	}
 }
 
+// deathsReason returns the SuspendReason of a task that is suspended for its holders' deaths.
+func deathsReason(deaths int) string {
+	return fmt.Sprintf("its last %d holders ended in it", deaths)
+}
+
+// SuspendedForDeaths reports whether a task is suspended for the deaths of its holders, and not by
+// an operator.
+func (s *State) SuspendedForDeaths(name string) bool {
+	task := s.LeasedTasks[name]
+	return task != nil && task.HolderDeaths >= suspendAfterDeaths && task.SuspendReason == deathsReason(task.HolderDeaths)
+}
+
 // rejectProcess rejects a process that has no session, or one that can't be granted the task.
 func (s *State) rejectProcess(process string) Result {
 	return s.reject(Unknown, "no session of %s that takes duties", process)
--- a/internal/control/controltasks.go
+++ b/internal/control/controltasks.go
@@ -29,9 +29,38 @@
 	pollMargin = 5 * time.Second
 )
 
+// controlTasks are the names of the control plane's own tasks.
+var controlTasks = []string{sweepTask, stateCopyTask, auditTask, votersTask}
+
+// newTaskLeases returns the task leases of a leader whose clock is at now. The control plane's own
+// tasks are essential.
+func newTaskLeases(now time.Duration) *catalog.TaskLeases {
+	leases := catalog.NewTaskLeases(now)
+	leases.Essential = map[string]bool{}
+	for _, name := range controlTasks {
+		leases.Essential[name] = true
+	}
+	return leases
+}
+
+// resumeControlTask proposes a decision to resume one of the control plane's own tasks, unless an
+// operator has suspended the task meanwhile.
+func (s *Server) resumeControlTask(command catalog.Command) error {
+	s.suspendMu.Lock()
+	defer s.suspendMu.Unlock()
+	suspended := false
+	s.fsm.read(func(state *catalog.State) { suspended = state.SuspendedForDeaths(command.Name) })
+	if !suspended {
+		return nil
+	}
+	s.log.Warn("resuming a control-plane task that was suspended for its holders' deaths", "task", command.Name)
+	_, err := s.propose(command)
+	return err
+}
+
 // defineControlTasks defines the control plane's own tasks that aren't defined yet.
 func (s *Server) defineControlTasks() {
-	for _, name := range []string{sweepTask, stateCopyTask, auditTask, votersTask} {
+	for _, name := range controlTasks {
 		known := false
 		s.fsm.read(func(state *catalog.State) { known = state.LeasedTasks[name] != nil })
 		if known {
--- /dev/null
+++ b/internal/control/controltasks_test.go
@@ -0,0 +1,67 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"knotrouter/internal/catalog"
+)
+
+// expireAsDeath has the current term of a task expire with its holder's death counted, as a leader
+// of an earlier build proposes it.
+func expireAsDeath(t *testing.T, s *Server, task string) {
+	t.Helper()
+	var fence int64
+	s.fsm.read(func(state *catalog.State) { fence = state.LeasedTasks[task].Fence })
+	term := catalog.TermRef{Name: task, Fence: fence, CountDeath: true}
+	if _, err := s.propose(catalog.Command{Kind: catalog.ExpireTerm, Terms: []catalog.TermRef{term}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitForTask waits until a task is in a state.
+func waitForTask(t *testing.T, s *Server, name, what string, reached func(task *catalog.LeasedTask) bool) {
+	t.Helper()
+	var last string
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		found := false
+		s.fsm.read(func(state *catalog.State) {
+			if task := state.LeasedTasks[name]; task != nil {
+				found, last = reached(task), fmt.Sprintf("%+v", task)
+			}
+		})
+		if found {
+			return
+		}
+	}
+	t.Fatalf("%s: %s: not reached; %s", name, what, last)
+}
+
+// isHeld reports whether a process holds a task.
+func isHeld(task *catalog.LeasedTask) bool { return task.Holder != "" }
+
+// TestControlTasksComeBackAfterDeaths holds that each of the control plane's own tasks which an
+// earlier build has suspended for its holders' deaths is held again, and that an operator's
+// suspension stays.
+func TestControlTasksComeBackAfterDeaths(t *testing.T) {
+	const deaths = 3 // after which an earlier build suspends a task
+	s, addr := startSingleServer(t)
+	for _, name := range controlTasks {
+		for range deaths {
+			waitForTask(t, s, name, "held", isHeld)
+			expireAsDeath(t, s, name)
+		}
+		waitForTask(t, s, name, "held after the deaths", isHeld)
+	}
+	client := NewClient([]string{addr}, 5*time.Second)
+	const reason = "until tomorrow"
+	if err := client.CommandTask(t.Context(), auditTask, CommandPark, "", reason); err != nil {
+		t.Fatal(err)
+	}
+	waitForTask(t, s, auditTask, "stopped", func(task *catalog.LeasedTask) bool { return task.Holder == "" })
+	time.Sleep(5 * decisionInterval)
+	waitForTask(t, s, auditTask, "still suspended", func(task *catalog.LeasedTask) bool {
+		return task.SuspendReason == reason && task.Holder == ""
+	})
+}
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -71,7 +71,7 @@
 		s.clockAtElection, version = state.Clock, state.Seq
 		s.electedAt = time.Now()
 		s.registrationLeases = catalog.NewRegistrationLeases(s.config.leaseConfig(), state, state.Clock)
-		s.taskLeases = catalog.NewTaskLeases(state.Clock)
+		s.taskLeases = newTaskLeases(state.Clock)
 	})
 	s.leaderMu.Unlock()
 	s.metrics.electionsWon.Inc()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -80,6 +80,9 @@
 	cancelTaskRunner context.CancelFunc
 	taskRunnerDone   chan struct{}
 	openPolls        atomic.Int64 // requests that wait for a change of assignments
+	// suspendMu orders the operators' suspensions of tasks and the leader's own resumptions, so that
+	// the leader undoes none of the former. It is held over a proposal, and taken before leaderMu.
+	suspendMu sync.Mutex
 
 	statusCache    statusCache
 	replicationLag atomic.Int64 // nanoseconds by which the applied state lags behind the leader's commit index
--- a/internal/control/snapshots.go
+++ b/internal/control/snapshots.go
@@ -59,7 +59,7 @@
 		s.electedAt = time.Now()
 		if s.registrationLeases != nil {
 			s.registrationLeases = catalog.NewRegistrationLeases(s.config.leaseConfig(), state, s.clockAtElection)
-			s.taskLeases = catalog.NewTaskLeases(s.clockAtElection)
+			s.taskLeases = newTaskLeases(s.clockAtElection)
 		}
 	})
 }
--- a/internal/control/tasks.go
+++ b/internal/control/tasks.go
@@ -56,7 +56,7 @@
 	}
 	s.leaderMu.Unlock()
 	for _, command := range commands {
-		if _, err := s.propose(command); err != nil {
+		if err := s.proposeTaskCommand(command); err != nil {
 			s.log.Warn("proposing a task command failed", "command", command.Kind, "err", err)
 			return
 		}
@@ -65,9 +65,22 @@
 	}
 }
 
-// logTaskCommand logs a committed command of catalog.TaskLeases, which is on terms or on a session. Of
-// several terms it logs the number and the first.
+// proposeTaskCommand commits a decision of catalog.TaskLeases.
+func (s *Server) proposeTaskCommand(command catalog.Command) error {
+	if command.Kind == catalog.Resume {
+		return s.resumeControlTask(command)
+	}
+	_, err := s.propose(command)
+	return err
+}
+
+// logTaskCommand logs a committed command of catalog.TaskLeases, which is on terms, on a session or on
+// a task. Of several terms it logs the number and the first.
 func (s *Server) logTaskCommand(command *catalog.Command) {
+	if command.Kind == catalog.Resume {
+		s.log.Info("task command committed", "command", command.Kind, "task", command.Name)
+		return
+	}
 	if len(command.Terms) == 0 {
 		s.log.Info("task command committed", "command", command.Kind, "process", command.Session.Process)
 		return
@@ -142,6 +155,10 @@
 		}
 		name := r.PathValue("name")
 		s.log.Info("operator command on a task", "task", name, "command", kind, "reason", b.Why)
+		if kind == catalog.Suspend {
+			s.suspendMu.Lock()
+			defer s.suspendMu.Unlock()
+		}
 		return s.commitAndAnswer(w, catalog.Command{Kind: kind, Name: name, Reason: b.Why})
 	}
 }
