Keep a successor's assignments as they are when it accepts a transfer

Cause: State.Assignments left the task out once the transfer was accepted, while only the holder's session gets a new revision. A successor that asks by revision was therefore answered in two ways at one revision.

Fix in the read, not in the replicated decision: the assignment stays "ready" until the grant or the cancellation, which both raise the revision.

--- a/internal/catalog/leasedtask.go
+++ b/internal/catalog/leasedtask.go
@@ -54,7 +54,9 @@
 	TTL   time.Duration `json:"ttl"`
 	Fence int64         `json:"fence,omitempty"` // the process holds the task under this token
 	Stop  bool          `json:"stop,omitempty"`  // it is to stop, and then to release its term
-	Ready bool          `json:"ready,omitempty"` // it is to get ready, and then to accept the transfer
+	// Ready: the process is to get ready, and then to accept the transfer. It stays set until the
+	// task is granted to the process or the transfer is cancelled; accepting again changes nothing.
+	Ready bool `json:"ready,omitempty"`
 }
 
 // TaskNames returns the names of all tasks in order.
@@ -73,7 +75,7 @@
 		case task.Holder == process:
 			stop := task.StopRequested || task.SuccessorReady
 			assignments = append(assignments, Assignment{Name: name, TTL: task.TTL, Fence: task.Fence, Stop: stop})
-		case task.Successor == process && !task.SuccessorReady:
+		case task.Successor == process:
 			assignments = append(assignments, Assignment{Name: name, TTL: task.TTL, Ready: true})
 		}
 	}
