Lose no byte of what a client sends behind a request in flight

Callers saw: 60 valid GETs of 0.3 KB sent behind one in flight: 14 answers of 200, then 400, the rest lost; a pipelined body was forwarded with wrong bytes and answered 200. A desynchronised connection is request smuggling where connections are shared.

Cause: agent.clientConn kept 4 KiB of what it read ahead to detect a disconnect, dropped the rest, and went on reading requests behind the gap.

Fix: what is read ahead is kept in order, 72 KiB a connection (a request of the largest size) and 2 MiB in all. Beyond that all of it is dropped, the current answer announces the end of the connection (RFC 9112, 9.3.2 and 9.6), nothing behind it is begun, and the close lingers for up to 4 MiB instead of 256 KiB so that it does not reset. The decision is sealed before the answer is written. Disconnects are still noticed, also behind any number of bytes. Each chunk keeps its time of arrival: behind several large requests a server was told 1.6 s where 0.8 s were left.

--- a/internal/agent/cancellation_test.go
+++ b/internal/agent/cancellation_test.go
@@ -146,7 +146,7 @@
 		a.clients.mu.Lock()
 		defer a.clients.mu.Unlock()
 		for c := range a.clients.conns {
-			return len(c.readAheadBuf) >= len(rest)-11 // one may have come with the first
+			return c.readAhead.size >= len(rest)-11 // one may have come with the first
 		}
 		return false
 	})
--- a/internal/agent/clientclose.go
+++ b/internal/agent/clientclose.go
@@ -90,6 +90,7 @@
 		return c.Conn.Close()
 	}
 	c.stage = connClosing
+	c.dropReadAhead()
 	if !c.peerEnded {
 		c.shutdownWrite()
 	}
--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -16,21 +16,18 @@
 	owner *clientConns
 	head  requestHead
 
-	stage              connStage
-	stageSince         time.Time // start of the current stage
-	answered           bool      // at least one request was answered
-	closed             bool
-	lingerUntil        time.Time // deadline of lingering, set when the agent's side has ended
-	lingeredBytes      int
-	peerEnded          bool      // the client's side has ended, or failed
-	connectedAt        time.Time // earliest arrival of the connection, which may have been queued in the kernel
-	requestArrivedAt   time.Time // earliest arrival of the current request
-	nextArrivedAt      time.Time // arrival of the first pipelined byte; zero: none has arrived
-	pipelined          bool      // a byte arrived behind the current request
-	readAheadBuf       []byte    // what readAhead has read behind that byte
-	readAheadErr       error
-	readAheadTruncated bool          // more was read ahead than is kept; nothing acts on it
-	readAheadDone      chan struct{} // closed when readAhead ends; nil: it does not run
+	stage            connStage
+	stageSince       time.Time // start of the current stage
+	answered         bool      // at least one request was answered
+	closed           bool
+	lingerUntil      time.Time // deadline of lingering, set when the agent's side has ended
+	lingeredBytes    int
+	peerEnded        bool      // the client's side has ended, or failed
+	connectedAt      time.Time // earliest arrival of the connection, which may have been queued in the kernel
+	requestArrivedAt time.Time // earliest arrival of the current request
+	nextArrivedAt    time.Time // arrival of the first pipelined byte; zero: none has arrived
+	pipelined        bool      // a byte arrived behind the current request
+	readAhead        readAheadState
 
 	canceled chan struct{} // closed when readAhead detects a disconnect
 }
@@ -38,25 +35,28 @@
 // Read reads what the client sends. It returns nothing that arrives after the close has begun.
 // While a request is handled, net/http reads a single byte in order to detect a disconnect; once
 // that byte has arrived, net/http would detect nothing more, and the connection is read ahead here
-// for the same purpose.
+// for the same purpose. What was read ahead is returned before what the client sends later; once a
+// part of it was dropped, nothing more is returned.
 func (c *clientConn) Read(p []byte) (int, error) {
 	c.owner.mu.Lock()
 	if c.stage == connClosing {
 		c.owner.mu.Unlock()
 		return 0, c.linger()
 	}
-	if len(c.readAheadBuf) > 0 {
-		n := copy(p, c.readAheadBuf)
-		c.readAheadBuf = c.readAheadBuf[n:]
+	if c.readAhead.truncated {
+		c.owner.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	if n, arrivedAt := c.takeReadAhead(p); n > 0 {
 		c.head.scan(p[:n])
 		if c.stage == connIdle {
-			c.beginRequest(true)
+			c.beginRequest(arrivedAt)
 		}
-		c.noteRead(n, len(p))
+		c.noteRead(n, len(p), arrivedAt)
 		c.owner.mu.Unlock()
 		return n, nil
 	}
-	if err := c.readAheadErr; err != nil {
+	if err := c.readAhead.err; err != nil {
 		c.owner.mu.Unlock()
 		return 0, err
 	}
@@ -74,11 +74,15 @@
 		return 0, c.linger()
 	}
 	if n > 0 && c.stage == connIdle {
-		c.beginRequest(pending || !queued && time.Since(startedAt) < minBlockingWait)
+		arrivedAt := time.Now()
+		if mayHaveWaited := pending || !queued && arrivedAt.Sub(startedAt) < minBlockingWait; mayHaveWaited && c.isFresh() {
+			arrivedAt = c.connectedAt // it may have arrived with the connection
+		}
+		c.beginRequest(arrivedAt)
 	}
-	c.noteRead(n, len(p))
-	c.owner.mu.Unlock()
 	c.head.scan(p[:n])
+	c.noteRead(n, len(p), time.Now())
+	c.owner.mu.Unlock()
 	return n, err
 }
 
@@ -99,24 +103,21 @@
 func (c *clientConn) wasQueued(readAt time.Time) bool {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	return c.stage == connIdle && !c.answered && !c.connectedAt.IsZero() && readAt.Sub(c.connectedAt) >= minBlockingWait
+	return c.stage == connIdle && c.isFresh() && readAt.Sub(c.connectedAt) >= minBlockingWait
 }
 
-// beginRequest records that the first bytes of a request were read, whether they may have arrived
-// with the connection, and when they arrived at the earliest. A pipelined request counts from the
-// arrival of its first byte. The lock must be held.
-func (c *clientConn) beginRequest(mayHaveComeWithConnection bool) {
+// isFresh reports whether the connection was accepted and has not carried a request yet. The lock
+// must be held.
+func (c *clientConn) isFresh() bool { return !c.answered && !c.connectedAt.IsZero() }
+
+// beginRequest records that the first bytes of a request were read, and when they arrived at the
+// earliest. A pipelined request counts from the arrival of its first byte. The lock must be held.
+func (c *clientConn) beginRequest(arrivedAt time.Time) {
 	c.setStage(connReading)
-	now := time.Now()
-	switch {
-	case !c.nextArrivedAt.IsZero():
-		c.requestArrivedAt = c.nextArrivedAt
-	case !c.answered && !c.connectedAt.IsZero() && mayHaveComeWithConnection:
-		c.requestArrivedAt = c.connectedAt
-	default:
-		c.requestArrivedAt = now
+	if !c.nextArrivedAt.IsZero() {
+		arrivedAt = c.nextArrivedAt
 	}
-	c.nextArrivedAt = time.Time{}
+	c.requestArrivedAt, c.nextArrivedAt = arrivedAt, time.Time{}
 }
 
 // arrivalTime returns the earliest time at which the current request may have arrived, from which
@@ -159,7 +160,7 @@
 	if c.stage == connClosing {
 		return
 	}
-	c.answered, c.pipelined = true, false
+	c.answered, c.pipelined, c.readAhead.sealed = true, false, false
 	c.setStage(connIdle)
 	if c.owner.draining {
 		c.halfClose()
--- a/internal/agent/clientconns.go
+++ b/internal/agent/clientconns.go
@@ -12,7 +12,7 @@
 	// its side of the connection. A close with unread bytes resets the connection, and the client
 	// loses what it has not read of its last response.
 	lingerTimeout  = 300 * time.Millisecond
-	maxLingerBytes = 256 << 10
+	maxLingerBytes = 4 << 20
 	// rejectTimeout limits the write of a rejection, which fits into the kernel's buffer.
 	rejectTimeout = 5 * time.Millisecond
 	// A connection is evicted for a waiting one after minIdleBeforeEviction between requests,
@@ -20,9 +20,10 @@
 	minIdleBeforeEviction    = 100 * time.Millisecond
 	minUnusedBeforeEviction  = 250 * time.Millisecond
 	minReadingBeforeEviction = 500 * time.Millisecond
-	// maxReadAheadBuf is how many bytes behind the current request are kept, and
-	// maxReadAheadBytes how many are read in order to detect a disconnect.
-	maxReadAheadBuf, maxReadAheadBytes = 4 << 10, 1 << 20
+	// maxReadAheadBuf is how many bytes behind the current request are kept: those of a request of the
+	// largest size. maxReadAheadTotal is how many are kept of all connections together.
+	maxReadAheadBuf   = maxBodyBytes + 8<<10
+	maxReadAheadTotal = 2 << 20
 )
 
 // connStage is the state of a client's connection between and within requests.
@@ -45,7 +46,9 @@
 	conns     map[*clientConn]struct{}
 	slotFreed chan struct{} // notified when a connection is released; buffer of one
 	draining  bool
-	log       *slog.Logger // nil: no logging
+	// readAheadBytes is how many bytes all connections have read ahead and keep.
+	readAheadBytes int
+	log            *slog.Logger // nil: no logging
 }
 
 // newClientConns returns an empty set for at most capacity connections.
@@ -118,6 +121,7 @@
 		}
 		cs.logClosed(victim, closeReason)
 		victim.stage = connClosing
+		victim.dropReadAhead()
 		victim.Conn.Close()
 		delete(cs.conns, victim)
 	}
@@ -160,6 +164,7 @@
 			c.reject()
 		}
 		c.stage = connClosing
+		c.dropReadAhead()
 		c.Conn.Close()
 	}
 }
--- a/internal/agent/deadline_test.go
+++ b/internal/agent/deadline_test.go
@@ -124,6 +124,24 @@
 	}
 }
 
+// The timeout of a request runs from its arrival also behind several others, each larger than what
+// net/http reads at once.
+func TestDeadlineBehindSeveralRequests(t *testing.T) {
+	const turn, behind = 400 * time.Millisecond, 3
+	addr, observed := timeoutBackend(t, http.StatusOK, turn)
+	_, base, _, _ := startAgent(t, testConfig(unreachableAddr, addr))
+	c, _ := dialAgent(t, base)
+	sent := time.Now()
+	padding := "\r\nX-Padding: " + strings.Repeat("p", 5<<10) + "\r\n"
+	io.WriteString(c, timedRequest("first"))
+	for i := range behind {
+		io.WriteString(c, strings.Replace(timedRequest(fmt.Sprint("behind", i)), "\r\n", padding, 1))
+	}
+	for range 1 + behind {
+		receive(t, "a request", observed).check(t, sent, timedRequestTimeout)
+	}
+}
+
 // testQueuedConnectionDeadline sends a request while idle connections occupy all places.
 func testQueuedConnectionDeadline(t *testing.T) {
 	addr, observed := timeoutBackend(t, http.StatusOK, 0)
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -86,6 +86,7 @@
 	case <-canceled:
 	case <-guard.C:
 		answered = true
+		a.endUnlessReadable(w, client)
 		r.abandoned.Store(true)
 		a.log.Debug("request answered", "request_id", r.wireID, "reason", reasonDeadline)
 		a.writeResponse(w, http.StatusGatewayTimeout, "", nil)
@@ -111,6 +112,7 @@
 		a.loop.post(event{kind: eventClientCanceled, req: r})
 	}
 	if !answered {
+		w.Header().Set("Connection", "close")
 		a.writeResponse(w, http.StatusInternalServerError, "", nil)
 	}
 }
@@ -206,6 +208,7 @@
 
 // writeAnswer writes the response for a final answer.
 func (a *Agent) writeAnswer(w http.ResponseWriter, r *request, result answer) {
+	a.endUnlessReadable(w, r.client)
 	switch result.status {
 	case policy.OK:
 		a.writeResponse(w, http.StatusOK, result.contentType, result.body)
@@ -219,6 +222,14 @@
 	}
 }
 
+// endUnlessReadable announces that the connection ends with the answer that is about to be written, if
+// no request behind it can be read any more. client is nil in tests without a connection.
+func (a *Agent) endUnlessReadable(w http.ResponseWriter, client *clientConn) {
+	if client != nil && !client.sealReadAhead() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // writeResponse writes a response. The connection is closed after it if the agent shuts down, or if
 // the client connections are nearly full, so that idle connections don't keep other clients
 // waiting.
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -5,57 +5,153 @@
 	"time"
 )
 
-// noteRead is called after each read with the number of bytes read and the size of the buffer.
-// net/http reads with a buffer of one byte only while a request is handled, so such a byte belongs
-// to a pipelined request. The lock must be held.
-func (c *clientConn) noteRead(n, capacity int) {
+const (
+	// readAheadSize is how many bytes are read ahead at once.
+	readAheadSize = 4 << 10
+	// After discardedPerPause bytes that were read only to detect a disconnect, the next ones wait for
+	// discardPause, so that a client that sends without end takes little processor time.
+	discardedPerPause = 256 << 10
+	discardPause      = 5 * time.Millisecond
+	// chunkPeriod is the longest time between the arrivals of the bytes of one chunk.
+	chunkPeriod = 10 * time.Millisecond
+)
+
+// readAheadState is what a connection has read behind its current request.
+type readAheadState struct {
+	chunks    []readAheadChunk
+	size      int  // of all chunks, in bytes
+	truncated bool // bytes were dropped: nothing behind the chunks may be read as a request
+	sealed    bool // the answer is being written: nothing may be dropped any more
+	err       error
+	done      chan struct{} // closed when the goroutine ends; nil: it does not run
+}
+
+// readAheadChunk is bytes that arrived together.
+type readAheadChunk struct {
+	bytes     []byte
+	arrivedAt time.Time // of its first byte
+}
+
+// add keeps bytes that have just arrived.
+func (s *readAheadState) add(p []byte, now time.Time) {
+	s.size += len(p)
+	if last := len(s.chunks) - 1; last >= 0 && now.Sub(s.chunks[last].arrivedAt) < chunkPeriod {
+		s.chunks[last].bytes = append(s.chunks[last].bytes, p...)
+		return
+	}
+	s.chunks = append(s.chunks, readAheadChunk{bytes: append([]byte(nil), p...), arrivedAt: now})
+}
+
+// take moves bytes of the first chunk to p. It returns how many, and when they arrived.
+func (s *readAheadState) take(p []byte) (n int, arrivedAt time.Time) {
+	if len(s.chunks) == 0 {
+		return 0, time.Time{}
+	}
+	first := &s.chunks[0]
+	n, arrivedAt = copy(p, first.bytes), first.arrivedAt
+	s.size -= n
+	if first.bytes = first.bytes[n:]; len(first.bytes) == 0 {
+		s.chunks = s.chunks[1:]
+	}
+	return n, arrivedAt
+}
+
+// takeReadAhead moves bytes that were read ahead to p. It returns how many, and when they arrived. The
+// lock must be held.
+func (c *clientConn) takeReadAhead(p []byte) (n int, arrivedAt time.Time) {
+	n, arrivedAt = c.readAhead.take(p)
+	c.owner.readAheadBytes -= n
+	return n, arrivedAt
+}
+
+// dropReadAhead drops what was read ahead. The lock must be held.
+func (c *clientConn) dropReadAhead() {
+	c.owner.readAheadBytes -= c.readAhead.size
+	c.readAhead.chunks, c.readAhead.size, c.readAhead.truncated = nil, 0, true
+}
+
+// sealReadAhead is called before the answer to the current request is written, and reports whether
+// another request may follow on the connection: none of the bytes behind the current one was dropped,
+// and from now on none will be.
+func (c *clientConn) sealReadAhead() (mayFollow bool) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.readAhead.sealed = true
+	return !c.readAhead.truncated
+}
+
+// noteRead is called after each read with the number of bytes read, the size of the buffer and when the bytes
+// arrived. net/http reads with a buffer of one byte only while a request is handled, so such a byte belongs to a pipelined
+// request. The lock must be held.
+func (c *clientConn) noteRead(n, capacity int, arrivedAt time.Time) {
 	if n == 1 && capacity == 1 {
 		c.pipelined = true
 		if c.nextArrivedAt.IsZero() {
-			c.nextArrivedAt = time.Now()
+			c.nextArrivedAt = arrivedAt
 		}
 		c.startReadAhead()
 	}
 }
 
-// startReadAhead starts readAhead if a byte of a pipelined request has arrived behind the accepted
+// startReadAhead starts runReadAhead if a byte of a pipelined request has arrived behind the accepted
 // one. The lock must be held.
 func (c *clientConn) startReadAhead() {
-	if c.stage == connActive && c.pipelined && c.readAheadDone == nil && c.readAheadErr == nil {
-		c.readAheadDone = make(chan struct{})
-		go c.readAhead(c.readAheadDone)
+	if c.stage == connActive && c.pipelined && c.readAhead.done == nil && c.readAhead.err == nil {
+		c.readAhead.done = make(chan struct{})
+		go c.runReadAhead(c.readAhead.done)
 	}
 }
 
-// readAhead reads what the client sends behind the current request until that request is answered,
+// runReadAhead reads what the client sends behind the current request until that request is answered,
 // in order to detect a disconnect. It closes finished on return.
-func (c *clientConn) readAhead(finished chan struct{}) {
+func (c *clientConn) runReadAhead(finished chan struct{}) {
 	defer close(finished)
-	buf := make([]byte, 512)
-	for total := 0; total < maxReadAheadBytes; {
+	buf := make([]byte, readAheadSize)
+	for discarded := 0; ; {
 		n, err := c.Conn.Read(buf)
-		total += n
 		c.owner.mu.Lock()
-		keep := min(n, maxReadAheadBuf-len(c.readAheadBuf))
-		c.readAheadBuf = append(c.readAheadBuf, buf[:keep]...)
-		c.readAheadTruncated = c.readAheadTruncated || keep < n
-		if err != nil {
-			if !os.IsTimeout(err) {
-				c.peerEnded, c.readAheadErr = true, err
-				close(c.canceled)
-			}
-			c.owner.mu.Unlock()
-			return
+		kept := c.keepReadAhead(buf[:n])
+		sealed := c.readAhead.sealed
+		if err != nil && !os.IsTimeout(err) {
+			c.peerEnded, c.readAhead.err = true, err
+			close(c.canceled)
 		}
 		c.owner.mu.Unlock()
+		if err != nil || sealed {
+			return
+		}
+		if kept {
+			continue
+		}
+		if discarded += n; discarded >= discardedPerPause {
+			discarded = 0
+			time.Sleep(discardPause)
+		}
+	}
+}
+
+// keepReadAhead keeps bytes that were read ahead, or drops them and all that is kept if there are
+// more than the bounds allow: the answer to the current request then says that the connection ends
+// with it, so that the client knows that none of the requests behind it was begun. It returns whether
+// the bytes are kept. The lock must be held.
+func (c *clientConn) keepReadAhead(p []byte) bool {
+	switch {
+	case c.readAhead.truncated:
+		return false
+	case c.readAhead.sealed, c.readAhead.size+len(p) <= maxReadAheadBuf && c.owner.readAheadBytes+len(p) <= maxReadAheadTotal:
+		c.readAhead.add(p, time.Now())
+		c.owner.readAheadBytes += len(p)
+		return true
 	}
+	c.dropReadAhead()
+	return false
 }
 
-// stopReadAhead stops readAhead and waits for its end.
+// stopReadAhead stops runReadAhead and waits for its end.
 func (c *clientConn) stopReadAhead() {
 	c.owner.mu.Lock()
-	done := c.readAheadDone
-	c.readAheadDone = nil
+	done := c.readAhead.done
+	c.readAhead.done = nil
 	c.owner.mu.Unlock()
 	if done != nil {
 		c.Conn.SetReadDeadline(time.Unix(1, 0))
