Judge no header line of which only the end was read as a line of its own

Callers saw: a valid pipelined request got 400 "body: more than one length". Its head was read in two parts, and the second one began within a header value that reads "Transfer-Encoding: chunked".

Cause: agent.requestHead judged the first line that it saw, which is the end of a line where net/http has read the beginning together with the previous request. The first line of a whole head is the request line, so the first one is now never judged. All others are lines of this head.

--- a/internal/agent/pipelining_test.go
+++ b/internal/agent/pipelining_test.go
@@ -222,6 +222,30 @@
 	}
 }
 
+// The end of a header line whose beginning was read together with the previous request is not taken for
+// a line of its own.
+func TestHeaderLineInTwoPartsIsNotJudged(t *testing.T) {
+	const readTogether = 4 << 10 // by net/http, at once
+	a, b, c, r := startPipeline(t, 100*time.Millisecond)
+	first, second := newPipelinedRequest(0, nil, 0), newPipelinedRequest(1, []byte("body"), 0)
+	// The first byte after what is read together is read alone.
+	const field, rest = "X-Padding: ", "pTransfer-Encoding: chunked"
+	beforeField := strings.Index(second.text, field) + len(field)
+	padding := strings.Repeat("p", readTogether-len(first.text)-beforeField)
+	second.text = second.text[:beforeField] + padding + rest + second.text[beforeField:]
+	text := first.text + second.text
+	io.WriteString(c, text[:readTogether])
+	waitUntil(t, "the first is in flight", func() bool { return len(b.ids()) == 1 })
+	io.WriteString(c, text[readTogether:])
+	requests := []pipelinedRequest{first, second}
+	answered := readPipelinedAnswers(t, r, requests)
+	if answered != len(requests) {
+		t.Errorf("%d of %d were answered", answered, len(requests))
+	}
+	checkForwarded(t, b, requests, answered)
+	checkReadAheadReleased(t, a, c)
+}
+
 // A client that sends far more behind a request than is kept gets its answer, which announces the end
 // of the connection, and the end of the stream instead of a reset. Nothing of the rest is forwarded.
 func TestTooManyPipelinedBytes(t *testing.T) {
--- a/internal/agent/requesthead.go
+++ b/internal/agent/requesthead.go
@@ -13,9 +13,14 @@
 // requestHead detects which header fields that define the body's length occur in the current
 // request. If both occur, net/http uses one and hides the other, and another reader could take what
 // net/http reads as the next request for a part of the body (request smuggling).
+//
+// net/http may have read the beginning of a pipelined request together with the previous one. The first
+// line that is read after that may be the end of a header line, and is not judged, as a request line is
+// not.
 type requestHead struct {
 	mu                                    sync.Mutex // net/http may read while the handler runs
-	line                                  []byte     // the prefix of the current line
+	firstLineEnded                        bool
+	line                                  []byte // the prefix of the current line
 	ended                                 bool
 	hasContentLength, hasTransferEncoding bool // the fields that were seen
 }
@@ -31,8 +36,11 @@
 			return
 		}
 		name, _, _ := strings.Cut(string(h.line), ":")
-		h.hasContentLength = h.hasContentLength || strings.EqualFold(name, "Content-Length")
-		h.hasTransferEncoding = h.hasTransferEncoding || strings.EqualFold(name, "Transfer-Encoding")
+		if h.firstLineEnded {
+			h.hasContentLength = h.hasContentLength || strings.EqualFold(name, "Content-Length")
+			h.hasTransferEncoding = h.hasTransferEncoding || strings.EqualFold(name, "Transfer-Encoding")
+		}
+		h.firstLineEnded = true
 		h.ended = name == "" || name == "\r"
 		h.line, p = h.line[:0], rest
 	}
@@ -50,5 +58,6 @@
 func (h *requestHead) reset() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.firstLineEnded = false
 	h.line, h.ended, h.hasContentLength, h.hasTransferEncoding = h.line[:0], false, false, false
 }
