Take a request off the queue when it ends, whatever the order of events

Callers saw: nothing yet; an agent whose decisions never end would serve nobody.

Cause: an event of a begun response marked a request whose attempt had ended and which was queued for a retry. policy.Balancer.finish left a request whose response has begun in the queue, so expireQueued and the overflow loop of dispatch never ended.

Fix: the event counts only for an attempt that is in flight (the request of any other would get no answer), it takes its request off the queue, and finish never leaves one there.

--- a/policy/requests.go
+++ b/policy/requests.go
@@ -74,16 +74,20 @@
 	}
 }
 
-// onResponseStarted notes that a streamed response has begun: from now on it belongs to the client.
+// onResponseStarted notes that a streamed response has begun: from now on it belongs to the client. A
+// report of an attempt that is not in flight is ignored, as nothing would end its request any more.
 func (b *Balancer) onResponseStarted(ev *Event) {
 	r := b.requests[ev.Request]
-	if r == nil || r.closed {
+	if r == nil || r.closed || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) {
 		return
 	}
-	r.responseStarted = true
-	if ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
-		r.attempts[ev.Attempt].server.lastResponse = b.now
+	a := r.attempts[ev.Attempt]
+	if a.done {
+		return
 	}
+	r.responseStarted = true
+	b.dequeue(r)
+	a.server.lastResponse = b.now
 }
 
 // value is what a unit of server time spent on the request earns by the objective: a part of the
@@ -195,9 +199,10 @@
 }
 
 // finish is the guard of all final answers except responses: it rejects the request where its class
-// allows the claim that a retry is harmless, and fails it otherwise.
+// allows the claim that a retry is harmless, and fails it otherwise. The request is not queued after it.
 func (b *Balancer) finish(r *request) {
 	if r.closed || r.responseStarted {
+		b.dequeue(r)
 		return
 	}
 	b.rememberUnserved(r)
@@ -213,9 +218,7 @@
 // closeRequest drops a finished request as soon as none of its attempts is in flight.
 func (b *Balancer) closeRequest(r *request) {
 	r.closed = true
-	if i := slices.Index(b.queued, r); i >= 0 {
-		b.queued = slices.Delete(b.queued, i, i+1)
-	}
+	b.dequeue(r)
 	for _, a := range r.attempts {
 		if !a.done && b.settings.Limits.Cancelling {
 			b.emit(Action{Kind: ActCancel, Request: r.id, Attempt: a.index})
@@ -226,6 +229,13 @@
 	}
 }
 
+// dequeue takes a request off the queue, if it is queued.
+func (b *Balancer) dequeue(r *request) {
+	if i := slices.Index(b.queued, r); i >= 0 {
+		b.queued = slices.Delete(b.queued, i, i+1)
+	}
+}
+
 // rememberUnserved keeps when an unserved request first arrived, so that its retry by the client is
 // judged by the time that has passed for the client.
 func (b *Balancer) rememberUnserved(r *request) {
