Let the longest idle connection give way to a dial at the limit

Cause: an agent may have 504 connections to servers, keeps idle ones for 15 s, and a dial beyond the limit counts as a full server. With thousands of servers nearly every call dials.

Fix: agent.idleConns holds the connections without an attempt, longest idle first; at the limit a dial closes the first of them. A connection in use is never among them. An attempt that net/http had given such a connection in the same moment writes nothing there and chooses another one.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -29,6 +29,9 @@
 	errUnboundedBody         = errors.New("a body that ends with the connection was not waited for")
 )
 
+// maxConnRetries bounds how often an attempt whose connection gave way to a dial chooses another one.
+const maxConnRetries = 3
+
 // attemptKey is the context key of the attempt that a dial serves.
 type attemptKey struct{}
 
@@ -56,6 +59,7 @@
 	stage        atomic.Int32
 	header       http.Header                 // of the outgoing request
 	conn         atomic.Pointer[backendConn] // the only one that it may be written to
+	connGaveWay  atomic.Bool                 // the last connection that the transport chose could not be used
 	writeFailed  atomic.Bool                 // a write failed: the request was not sent completely
 	bodyConsumed atomic.Bool                 // the transport has read the last byte of the body
 	// firstByte is the time in ns from the start until the first byte was allowed; 0: it was not.
@@ -96,9 +100,19 @@
 	return a.stage.CompareAndSwap(attemptWaiting, attemptWithdrawn) || a.stage.Load() == attemptWithdrawn
 }
 
-// gotConn binds the attempt to the first connection that the transport chose for it.
+// gotConn binds the attempt to the first connection that the transport chose for it and that has not
+// given way to a dial.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if c, ok := info.Conn.(*backendConn); ok && a.conn.CompareAndSwap(nil, c) {
+	c, ok := info.Conn.(*backendConn)
+	if !ok {
+		return
+	}
+	if !c.dialer.idle.claim(c) {
+		c.attempt.Store(nil) // so that nothing is written in the name of the attempt before
+		a.connGaveWay.Store(true)
+		return
+	}
+	if a.conn.CompareAndSwap(nil, c) {
 		c.attempt.Store(a)
 		a.setTimeoutHeader() // now, and not before a slow connect: the transport writes it next
 	}
@@ -131,17 +145,29 @@
 		}).Stop()
 	}
 	res, err := a.roundTrip()
+	for retries := 0; err != nil && retries < maxConnRetries && a.mayChooseAnotherConn(); retries++ {
+		res, err = a.roundTrip()
+	}
 	if err != nil {
 		res.status, res.err = a.failureStatus(err), err
 		if c := a.conn.Load(); c != nil {
 			c.Close()
 		}
 	}
+	if c := a.conn.Load(); c != nil {
+		c.dialer.idle.add(c)
+	}
 	a.cancel(nil)
 	res.latency = time.Since(a.started)
 	return res
 }
 
+// mayChooseAnotherConn reports whether a round trip failed only because its connection had given way
+// to a dial: no byte was written, and the attempt is still wanted.
+func (a *attempt) mayChooseAnotherConn() bool {
+	return a.connGaveWay.Swap(false) && a.conn.Load() == nil && a.stage.Load() == attemptWaiting && a.ctx.Err() == nil
+}
+
 // roundTrip sends the request and reads the response. It returns an error if no complete response
 // arrived.
 func (a *attempt) roundTrip() (res result, err error) {
@@ -186,7 +212,7 @@
 	switch {
 	case notSent && (a.req.abandoned.Load() || a.sendWindowExpired()):
 		return policy.Withdrawn // not the backend's fault
-	case notSent && (errors.Is(err, errNoSockets) || errors.Is(cause, errBackendDrained)):
+	case notSent && (errors.Is(err, errNoSockets) || a.connGaveWay.Load() || errors.Is(cause, errBackendDrained)):
 		return policy.Full
 	case errors.Is(cause, errAttemptCanceled):
 		return policy.Cancelled
--- a/internal/agent/dialer.go
+++ b/internal/agent/dialer.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -20,6 +21,7 @@
 	maxIdlePerBackend int
 	open              atomic.Int64
 	maxOpen           int64
+	idle              idleConns
 }
 
 // newBackendDialer returns the dialer of an agent with this configuration.
@@ -53,15 +55,14 @@
 
 // dialForAttempt opens a connection for the attempt in ctx. http.Transport detaches its dials from
 // the request and keeps the connection for a later request; here the dial ends with its attempt, so
-// that none goes on to a backend that was given up. It returns errNoSockets if the limit of open
-// connections is reached.
+// that none goes on to a backend that was given up. If the limit of open connections is reached, the one that has been idle for
+// longest gives way; it returns errNoSockets if none is idle.
 func (d *dialer) dialForAttempt(ctx context.Context, network, addr string) (net.Conn, error) {
 	a, _ := ctx.Value(attemptKey{}).(*attempt)
 	if a == nil {
 		return nil, errors.New("dial without an attempt")
 	}
-	if d.open.Add(1) > d.maxOpen {
-		d.open.Add(-1)
+	if !d.reserve() {
 		return nil, errNoSockets
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, d.connectTimeout)
@@ -78,6 +79,20 @@
 	return &backendConn{Conn: c, dialer: d, framing: responseFraming{framingState: framingState{complete: true}}}, nil
 }
 
+// reserve counts a connection that is about to be opened. Idle connections give way to it where the
+// limit is reached; it returns false if there are too few.
+func (d *dialer) reserve() bool {
+	for d.open.Add(1) > d.maxOpen {
+		d.open.Add(-1)
+		oldest := d.idle.takeOldest()
+		if oldest == nil {
+			return false
+		}
+		oldest.Close()
+	}
+	return true
+}
+
 // connectWithRetry calls connect again while it fails for lack of a local resource or of a network
 // route, with a backoff, until ctx ends. The last error is joined with errNoSockets if a local
 // resource was missing.
@@ -102,6 +117,11 @@
 	attempt atomic.Pointer[attempt]
 	framing responseFraming
 	closed  sync.Once
+
+	// The fields below are guarded by dialer.idle.mu.
+
+	idle     *list.Element // in dialer.idle; nil: not idle
+	unusable bool          // closed, or about to be: no attempt may begin on it
 }
 
 // Read reads the response to the current attempt. It returns errTrailingBytes once the backend has
@@ -136,6 +156,9 @@
 
 // Close closes the connection and releases its place in the dialer's limit, once.
 func (c *backendConn) Close() error {
-	c.closed.Do(func() { c.dialer.open.Add(-1) })
+	c.closed.Do(func() {
+		c.dialer.idle.discard(c)
+		c.dialer.open.Add(-1)
+	})
 	return c.Conn.Close()
 }
