Prove leadership by responses to what was sent after the call

Callers saw (once, beside load): a leader resumed after a suspension confirmed the renewal of a session that had ended at the next leader, so two holders could act.

Cause: raft.VerifyLeader counts the next successful response of each server, also to a heartbeat sent before the call; a suspended process finds such responses in its sockets.

Fix: raft's transport records when the last append that each server has confirmed was sent, and a proof waits for a majority of the voters to have confirmed one of this term sent since the call. A renewal also requires that it is the term in which this server became the leader whose state was read. The check is shared by renewals of sessions and by failure evidence; consistent reads use a log entry, which a stale response can't confirm.

--- a/internal/control/failureobservations.go
+++ b/internal/control/failureobservations.go
@@ -88,7 +88,7 @@
 		}
 		round := s.collectEvidence(s.voters(), refs)
 		// The answers count only if this server still led after they were given.
-		if s.verifyLeader(s.ctx) != nil {
+		if _, err := s.verifyLeader(s.ctx); err != nil {
 			continue
 		}
 		s.observations.update(time.Now(), round)
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -74,12 +74,13 @@
 	if err != nil {
 		return fmt.Errorf("raft: %w", err)
 	}
-	s.transport = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+	transport := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
 		MaxPool: raftPoolSize,
 		Timeout: raftTimeout,
 		Logger:  rl,
 		Stream:  &raftStreamLayer{peerDialer{ln, s.raftAddr}, s.config.Name},
 	})
+	s.transport = &recordingTransport{transport, s.confirmedAppends}
 	stable := &stableStore{s.store.bolt, s.fail}
 	r, err := raft.NewRaft(s.raftConfig(rl), s.fsm, s.config.WrapLogStore(s.store), stable, s.store.snaps, s.transport)
 	if err != nil {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -61,15 +61,20 @@
 // becomeLeader starts the leader's work once every entry committed by earlier leaders is applied
 // here. All leases and sessions start with their full time.
 func (s *Server) becomeLeader() {
+	term := s.raft().CurrentTerm()
 	if err := s.raft().Barrier(applyTimeout).Error(); err != nil {
 		s.log.Warn("lost leadership before taking over", "err", err)
 		return
 	}
+	if s.raft().CurrentTerm() != term {
+		s.log.Warn("lost leadership before taking over", "term", term)
+		return // if this server has been elected again, that follows on the channel
+	}
 	s.leaderMu.Lock()
 	var version int64
 	s.fsm.read(func(state *catalog.State) {
 		s.clockAtElection, version = state.Clock, state.Seq
-		s.electedAt = time.Now()
+		s.electedAt, s.leaderTerm = time.Now(), term
 		s.registrationLeases = catalog.NewRegistrationLeases(s.config.leaseConfig(), state, state.Clock)
 		s.taskLeases = newTaskLeases(state.Clock)
 	})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -58,16 +58,19 @@
 	peerClient  *http.Client // for requests to peers
 	probeClient *http.Client // for health checks of registered servers
 
-	fsm          *fsm
-	store        *store
-	raftNode     atomic.Pointer[raft.Raft] // nil until raft has started
-	transport    *raft.NetworkTransport
-	readBarriers barriers
-	leaderChecks barriers
+	fsm       *fsm
+	store     *store
+	raftNode  atomic.Pointer[raft.Raft] // nil until raft has started
+	transport *recordingTransport
+	// confirmedAppends is what the other servers have confirmed of this one's leadership.
+	confirmedAppends *confirmedAppends
+	readBarriers     barriers
+	leaderChecks     barriers
 
 	leaderMu           sync.Mutex                  // guards the fields of this group
 	registrationLeases *catalog.RegistrationLeases // nil unless this server leads and has applied all earlier entries
 	taskLeases         *catalog.TaskLeases         // nil when registrationLeases is
+	leaderTerm         uint64                      // raft's term for which these are
 	clockAtElection    time.Duration               // the state's clock at electedAt
 	electedAt          time.Time
 
@@ -105,13 +108,14 @@
 // newServer returns a Server that has opened nothing yet.
 func newServer(c *Config, log *slog.Logger) *Server {
 	s := &Server{
-		config:      c,
-		log:         log,
-		startedAt:   time.Now(),
-		fatalErrors: make(chan error, 1),
-		bootID:      rand.Text(),
-		probeClient: &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		logLimiter:  rate.NewLimiter(repeatedLogsPerSecond, repeatedLogsBurst),
+		config:           c,
+		log:              log,
+		startedAt:        time.Now(),
+		fatalErrors:      make(chan error, 1),
+		bootID:           rand.Text(),
+		confirmedAppends: newConfirmedAppends(),
+		probeClient:      &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		logLimiter:       rate.NewLimiter(repeatedLogsPerSecond, repeatedLogsBurst),
 		peerClient: &http.Client{
 			Timeout:   peerTimeout,
 			Transport: &http.Transport{MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: idlePeerTimeout},
--- a/internal/control/sessions.go
+++ b/internal/control/sessions.go
@@ -57,15 +57,19 @@
 	if !leads {
 		return errNoLeader
 	}
-	code, update, err := s.renewSession(process, request.ID, now)
+	code, update, term, err := s.renewSession(process, request.ID, now)
 	if err != nil {
 		return err
 	}
 	if code != catalog.Done {
 		return renewalRejection(code, process)
 	}
-	if err := s.verifyLeader(r.Context()); err != nil {
+	// Leadership in another term would say nothing of the assignments read above.
+	switch proven, err := s.verifyLeader(r.Context()); {
+	case err != nil:
 		return err
+	case proven != term:
+		return errNoLeader
 	}
 	if update.Revision <= request.Rev {
 		update.Assignments = nil
@@ -86,20 +90,20 @@
 	return &rejectedError{catalog.Result{Code: code, Text: text}}
 }
 
-// renewSession renews a session at a time of the leader's clock and returns its assignments. It
-// returns errNoLeader if this server doesn't lead.
-func (s *Server) renewSession(process, id string, now time.Duration) (code catalog.Code, update leaderelection.AssignmentUpdate, err error) {
+// renewSession renews a session at a time of the leader's clock and returns its assignments, and raft's
+// term in which this server has become the leader. It returns errNoLeader if this server doesn't lead.
+func (s *Server) renewSession(process, id string, now time.Duration) (code catalog.Code, update leaderelection.AssignmentUpdate, term uint64, err error) {
 	s.leaderMu.Lock()
 	defer s.leaderMu.Unlock()
 	if s.taskLeases == nil {
-		return code, update, errNoLeader
+		return code, update, 0, errNoLeader
 	}
 	s.fsm.read(func(state *catalog.State) {
 		if code = s.taskLeases.Renew(state, process, id, now); code == catalog.Done {
 			update.Assignments, update.Revision, _ = state.Assignments(process, id)
 		}
 	})
-	return code, update, nil
+	return code, update, s.leaderTerm, nil
 }
 
 // handleAssignments answers with the assignments of a session once their revision is later than
