Add a soak of experiments that are drawn from seeds

One seed draws one experiment, to the byte. The verdict is held, broke or void (the lab itself was late).

New kinds of faults of agents, for experiment files too: series of signals after which clients go on using open connections until the kill at the earliest moment, with requests pipelined and half sent; crowds of idle and stalled connections, after which descriptors must be released; pipelining; no further descriptors (EMFILE of accept, socket and open). A restarted agent has to be ready within 10 s.

--- a/cmd/lab/input_test.go
+++ b/cmd/lab/input_test.go
@@ -45,6 +45,12 @@
 		{"disk full", "--out: write summary.json: ", []string{"run", good, "--out", full}},
 		{"an agent that does not start", "process n", []string{"run", experimentFile(t, "command = ", "command = \"/bin/false\" #")}},
 		{"no results", "results: ", []string{"compare", dir, dir}},
+		{"no seeds", `--seeds: must be A-B or A, is ""`, []string{"soak"}},
+		{"seeds backwards", "--seeds: must be 1 to 10000 seeds, the first one first", []string{"soak", "--seeds", "9-3"}},
+		{"too many seeds", "--seeds: must be 1 to 10000 seeds", []string{"soak", "--seeds", "1-10001"}},
+		{"a short soak", "--for: must be 15s to 1h, is 1s", []string{"soak", "--seeds", "1", "--for", "1s"}},
+		{"no soak beside", "--beside: must be 1 to 16, is 0", []string{"soak", "--seeds", "1", "--beside", "0"}},
+		{"unknown flag of the soak", "--site", []string{"soak", "--site", "nowhere"}},
 		{"nothing to list", "--dir: no experiment", []string{"list", "--dir", dir}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -2,7 +2,7 @@
 // around the agents under test, with injected faults and checked rules.
 //
 // Each file has one command or a few related ones: run.go (run), experiments.go (list, validate),
-// compare.go (compare), mutants.go, capacity.go, cost.go, hollow.go and worker.go. scale.go has the
+// compare.go (compare), mutants.go, soak.go, capacity.go, cost.go, hollow.go and worker.go. scale.go has the
 // scale runs, which run, list, validate and compare also handle.
 package main
 
@@ -50,7 +50,7 @@
 			"injects the faults of an experiment's timeline and checks the rules by what servers\n" +
 			"and clients saw. Everything is on loopback addresses and ends with the lab."}
 	root.SetOut(out)
-	root.AddCommand(runCommand(out, progress), listCommand(out), validateCommand(out), compareCommand(out), mutantsCommand(out), workerCommand())
+	root.AddCommand(runCommand(out, progress), listCommand(out), validateCommand(out), compareCommand(out), mutantsCommand(out), soakCommand(out), workerCommand())
 	root.AddCommand(capacityCommand(out), costCommand(out, progress), hollowCommand(out))
 	return root
 }
--- /dev/null
+++ b/cmd/lab/soak.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"knotrouter/internal/lab/soak"
+)
+
+const (
+	// maxSoakSeeds bounds the seeds of one call, and maxSoakBeside how many are played at once.
+	maxSoakSeeds, maxSoakBeside = 10_000, 16
+	// shrinkRuns bounds the time of --shrink, as a number of runs.
+	shrinkRuns = 12
+)
+
+// soakOptions are the flags of the soak.
+type soakOptions struct {
+	seeds    string
+	duration time.Duration
+	out      string
+	agent    string
+	beside   int
+	quiet    bool
+	shrink   bool
+}
+
+// soakCommand returns the command that plays experiments drawn at random.
+func soakCommand(out io.Writer) *cobra.Command {
+	var options soakOptions
+	cmd := &cobra.Command{Use: "soak", Short: "Play experiments that are drawn from seeds, with all kinds of faults", Args: cobra.NoArgs,
+		Long: "soak draws a fleet, its settings and a schedule of faults from each seed, plays it on real\n" +
+			"processes and judges it by the rules alone. A seed always draws the same experiment. A run\n" +
+			"that the machine was too busy for is void. The last line counts the verdicts. Exit code 1\n" +
+			"means that a seed broke a rule, or that none held; a flag that makes no sense is one line\n" +
+			"that names it, and exit code 2.",
+		Example: "  lab soak --seeds 1-50 --for 60s --quiet\n  lab soak --seeds 17 --for 60s --shrink",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			seeds, err := options.parse()
+			if err != nil {
+				return err
+			}
+			return runSoak(cmd.Context(), out, &options, seeds)
+		}}
+	cmd.Flags().StringVar(&options.seeds, "seeds", "", "the seeds, as A-B or A")
+	cmd.Flags().DurationVar(&options.duration, "for", time.Minute, "how long each is played")
+	cmd.Flags().StringVar(&options.out, "out", "", "folder for the results (default: found/soak-TIME)")
+	cmd.Flags().StringVar(&options.agent, "agent", "bin/agent", "the agent's program")
+	cmd.Flags().IntVar(&options.beside, "beside", 1, "how many are played at once")
+	cmd.Flags().BoolVar(&options.quiet, "quiet", false, "print only what broke or is void, and the count")
+	cmd.Flags().BoolVar(&options.shrink, "shrink", false, "drop the faults of a seed that broke one by one while it still breaks")
+	return cmd
+}
+
+// seedRange is the form of the seeds.
+var seedRange = regexp.MustCompile(`^(\d{1,18})(?:-(\d{1,18}))?$`)
+
+// parse checks the flags and returns the seeds. Its error names the flag.
+func (o *soakOptions) parse() (seeds []uint64, err error) {
+	parts := seedRange.FindStringSubmatch(o.seeds)
+	if parts == nil {
+		return nil, fmt.Errorf("--seeds: must be A-B or A, is %q", o.seeds)
+	}
+	first, _ := strconv.ParseUint(parts[1], 10, 64)
+	last := first
+	if parts[2] != "" {
+		last, _ = strconv.ParseUint(parts[2], 10, 64)
+	}
+	switch {
+	case first > last || last-first >= maxSoakSeeds:
+		return nil, fmt.Errorf("--seeds: must be 1 to %d seeds, the first one first, is %q", maxSoakSeeds, o.seeds)
+	case o.duration < soak.MinDuration || o.duration > time.Hour:
+		return nil, fmt.Errorf("--for: must be %v to 1h, is %v", soak.MinDuration, o.duration)
+	case o.beside < 1 || o.beside > maxSoakBeside:
+		return nil, fmt.Errorf("--beside: must be 1 to %d, is %d", maxSoakBeside, o.beside)
+	}
+	for seed := first; seed <= last; seed++ {
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
+// runSoak plays the seeds and prints their results in the order of the seeds. It returns errBroke if
+// one broke, or none held.
+func runSoak(ctx context.Context, out io.Writer, options *soakOptions, seeds []uint64) error {
+	if options.out == "" {
+		options.out = filepath.Join(resultsDir, "soak-"+time.Now().Format(fileTimeLayout))
+	}
+	results := make([]chan soak.Result, len(seeds))
+	for i := range results {
+		results[i] = make(chan soak.Result, 1)
+	}
+	var group errgroup.Group
+	group.SetLimit(options.beside)
+	go func() {
+		for i, seed := range seeds {
+			group.Go(func() error {
+				results[i] <- options.play(ctx, out, seed)
+				return nil
+			})
+		}
+	}()
+	counts := map[soak.Verdict]int{}
+	for i := range seeds {
+		result := <-results[i]
+		if ctx.Err() != nil && result.Verdict == soak.Failed {
+			break // interrupted
+		}
+		counts[result.Verdict]++
+		options.print(out, result)
+	}
+	fmt.Fprintf(out, "soak: %d held, %d broke, %d void, %d failed of %d seeds\n",
+		counts[soak.Held], counts[soak.Broke], counts[soak.Void], counts[soak.Failed], len(seeds))
+	if counts[soak.Broke]+counts[soak.Failed] > 0 || counts[soak.Held] == 0 || ctx.Err() != nil {
+		return errBroke
+	}
+	return nil
+}
+
+// play plays one seed, and shrinks it if it broke and that is asked for.
+func (o *soakOptions) play(ctx context.Context, out io.Writer, seed uint64) soak.Result {
+	if ctx.Err() != nil {
+		return soak.Result{Seed: seed, Verdict: soak.Failed, Reason: "interrupted"}
+	}
+	e := soak.Draw(seed, o.duration)
+	dir := filepath.Join(o.out, e.Name)
+	result := soak.Play(ctx, e, seed, o.agent, dir)
+	if o.shrink && result.Verdict == soak.Broke {
+		smaller := soak.Shrink(ctx, e, seed, o.agent, filepath.Join(dir, "shrunk"), shrinkRuns*o.duration)
+		fmt.Fprintf(out, "seed %d still broke with:\n%s", seed, smaller.Text())
+	}
+	return result
+}
+
+// print prints the result of one seed, with the command that plays it again.
+func (o *soakOptions) print(out io.Writer, result soak.Result) {
+	if o.quiet && result.Verdict == soak.Held {
+		return
+	}
+	fmt.Fprintf(out, "seed %d: %s", result.Seed, result.Verdict)
+	if result.Reason != "" {
+		fmt.Fprintf(out, ": %s", result.Reason)
+	}
+	if result.Verdict != soak.Held {
+		fmt.Fprintf(out, "\n  bin/lab soak --seeds %d --for %v; logs and timeline in %s", result.Seed, o.duration, result.Dir)
+	}
+	fmt.Fprintln(out)
+}
--- a/internal/lab/client/baseline.go
+++ b/internal/lab/client/baseline.go
@@ -151,6 +151,9 @@
 	return opened
 }
 
+// SetOpenOnly does nothing: a baseline is not restarted.
+func (b *Baseline) SetOpenOnly(bool) {}
+
 // Reset resets all connections.
 func (b *Baseline) Reset() {
 	b.mu.Lock()
--- a/internal/lab/client/call.go
+++ b/internal/lab/client/call.go
@@ -77,6 +77,9 @@
 	conn, err := p.get(c.addr, c.deadline, c.connectTimeout, forceNew)
 	if err != nil {
 		result.At = c.clock()
+		if errors.Is(err, errNoOpenConnection) {
+			result.Outcome = check.Void
+		}
 		return result, false
 	}
 	result.NewConnection, result.Outcome = !conn.used, check.Unanswered
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -36,6 +36,8 @@
 	Opened() int64
 	// Reset resets all connections.
 	Reset()
+	// SetOpenOnly sets whether requests may use open connections only.
+	SetOpenOnly(openOnly bool)
 }
 
 // Env is what the clients of a fleet share.
@@ -69,7 +71,13 @@
 }
 
 // Start starts the client's process: it sends requests from now on.
-func (c *Client) Start() { c.up.Store(true) }
+func (c *Client) Start() {
+	c.sender.SetOpenOnly(false)
+	c.up.Store(true)
+}
+
+// UseOpenConnectionsOnly has the client go on sending, on the connections that are open.
+func (c *Client) UseOpenConnectionsOnly() { c.sender.SetOpenOnly(true) }
 
 // StopSending has the client send no new requests. Those in progress go on, but are not retried.
 func (c *Client) StopSending() { c.up.Store(false) }
@@ -119,7 +127,7 @@
 	incarnation := c.incarnation.Load()
 	idempotencyKey := ""
 	if class.Effect != EffectIdempotent {
-		idempotencyKey = fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+		idempotencyKey = formatIdempotencyKey(rng.Uint64(), rng.Uint64())
 	}
 	result := Result{Agent: int32(c.index), Class: int16(a.Class), Planned: a.At, SendDelay: delay}
 	deadline := a.At + class.Deadline // of all attempts together
@@ -216,6 +224,15 @@
 	return r
 }
 
+// formatIdempotencyKey returns an idempotency key of random numbers.
+func formatIdempotencyKey(numbers ...uint64) string {
+	var key strings.Builder
+	for _, number := range numbers {
+		fmt.Fprintf(&key, "%016x", number)
+	}
+	return key.String()
+}
+
 // formatTimeout returns the value of a Request-Timeout header, in microseconds and at least one.
 func formatTimeout(timeout time.Duration) string {
 	return strconv.FormatInt(max(timeout.Microseconds(), 1), 10) + "u"
@@ -240,3 +257,6 @@
 
 // Reset resets all connections.
 func (t *ToAgent) Reset() { t.pool.Reset() }
+
+// SetOpenOnly sets whether requests may use open connections only.
+func (t *ToAgent) SetOpenOnly(openOnly bool) { t.pool.SetOpenOnly(openOnly) }
--- a/internal/lab/client/client_test.go
+++ b/internal/lab/client/client_test.go
@@ -46,8 +46,9 @@
 	return response
 }
 
-func (s *scriptedSender) Opened() int64 { return 0 }
-func (s *scriptedSender) Reset()        {}
+func (s *scriptedSender) Opened() int64    { return 0 }
+func (s *scriptedSender) Reset()           {}
+func (s *scriptedSender) SetOpenOnly(bool) {}
 
 // responseWith returns the response to a request that was sent and had the outcome.
 func responseWith(outcome check.Outcome) response {
--- /dev/null
+++ b/internal/lab/client/pipeline.go
@@ -0,0 +1,141 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"knotrouter/internal/lab/check"
+)
+
+// Irregular describes how a client uses one connection of its own beside its regular ones.
+type Irregular struct {
+	Arrivals []Arrival
+	// SplitPause is the pause in the middle of the bytes; 0: they are written at once.
+	SplitPause time.Duration
+}
+
+// SendIrregular sends all requests on one new connection before it reads the first answer, and records
+// how each ended. A request whose connection ends before its answer, and of which no server received
+// anything, was not begun: that is void, as its client may send it again.
+func (c *Client) SendIrregular(irregular Irregular) {
+	agent, ok := c.sender.(*ToAgent)
+	if !ok {
+		return
+	}
+	conn, err := net.DialTimeout("tcp", agent.Addr, agentConnectTimeout)
+	if err != nil {
+		return
+	}
+	agent.pool.all.Add(conn)
+	defer agent.pool.drop(&pooledConn{Conn: conn})
+	var requests []*check.Request
+	var text bytes.Buffer
+	listenUntil := c.env.Clock()
+	for i := range irregular.Arrivals {
+		a := &irregular.Arrivals[i]
+		r := c.newIrregularRequest(a, irregular.SplitPause, &text)
+		requests = append(requests, r)
+		listenUntil = max(listenUntil, r.Deadline+c.env.ListenSlack)
+	}
+	_ = conn.SetDeadline(c.env.Epoch.Add(listenUntil))
+	sent := writeInTwo(conn, text.Bytes(), irregular.SplitPause)
+	c.readIrregular(bufio.NewReader(conn), requests, sent)
+}
+
+// newIrregularRequest adds a request to the checker, and its bytes to text. Its time begins after the
+// pause.
+func (c *Client) newIrregularRequest(a *Arrival, pause time.Duration, text *bytes.Buffer) *check.Request {
+	class := &c.env.Load.Classes[a.Class]
+	key := ""
+	if class.Effect != EffectIdempotent {
+		key = formatIdempotencyKey(a.Seed)
+	}
+	r := c.newRequest(a, class, key, c.env.Clock()+pause, class.Deadline)
+	header := http.Header{headerRequestID: {r.ID}, headerRequestTimeout: {formatTimeout(class.Deadline)}, "User-Agent": {""}}
+	if key != "" {
+		header[headerIdempotencyKey] = []string{key}
+	}
+	c.env.Checker.Add(r)
+	c.attempts.Add(1)
+	_ = (&call{request: r, header: header}).httpRequest().Write(text)
+	return r
+}
+
+// writeInTwo writes a text in two parts with a pause between them. It reports whether all was written.
+func writeInTwo(w io.Writer, text []byte, pause time.Duration) bool {
+	half := len(text)
+	if pause > 0 {
+		half /= 2
+	}
+	if _, err := w.Write(text[:half]); err != nil {
+		return false
+	}
+	time.Sleep(pause)
+	_, err := w.Write(text[half:])
+	return err == nil
+}
+
+// readIrregular reads the answers to requests in order, and records how each ended.
+func (c *Client) readIrregular(r *bufio.Reader, requests []*check.Request, sent bool) {
+	ended := false
+	for i, request := range requests {
+		answer := check.Answer{Outcome: check.Unanswered, Sent: sent, NewConnection: i == 0}
+		if !ended {
+			ended = readIrregularAnswer(r, &answer)
+		}
+		answer.At = c.env.Clock()
+		if answer.Outcome == check.Unanswered {
+			answer.Closed = ended && answer.At < request.Deadline
+			if received, _ := request.Attempts(); received == 0 && answer.Closed {
+				answer.Outcome = check.Void
+			}
+		}
+		c.env.Checker.RecordAnswer(request, answer)
+	}
+}
+
+// readIrregularAnswer reads one answer. It reports whether the connection ends with it.
+func readIrregularAnswer(r *bufio.Reader, answer *check.Answer) (ends bool) {
+	if _, err := r.Peek(1); err != nil {
+		return true
+	}
+	answer.Partial = true
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return true
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return true
+	}
+	answer.Body, answer.Outcome = string(body), outcomeOf(response.StatusCode)
+	return response.Close
+}
+
+// HoldConnections opens connections to the agent, writes the text on each, and keeps them until the
+// agent ends them or done is closed. It returns how many could be opened.
+func (c *Client) HoldConnections(count int, text string, done <-chan struct{}) (opened int) {
+	agent, ok := c.sender.(*ToAgent)
+	if !ok {
+		return 0
+	}
+	var conns []net.Conn
+	for range count {
+		conn, err := net.DialTimeout("tcp", agent.Addr, agentConnectTimeout)
+		if err != nil {
+			break
+		}
+		conns = append(conns, conn)
+		_, _ = io.WriteString(conn, text)
+	}
+	<-done
+	for _, conn := range conns {
+		conn.Close()
+	}
+	return len(conns)
+}
--- a/internal/lab/client/pool.go
+++ b/internal/lab/client/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -12,14 +13,18 @@
 // maxIdleConnections bounds the idle connections that a pool keeps open.
 const maxIdleConnections = 64
 
+// errNoOpenConnection is the error of a pool that may open no connection and has no idle one.
+var errNoOpenConnection = errors.New("no open connection is idle")
+
 // Pool keeps the connections to one address, with one request at a time on each. The zero value
 // is empty and ready to use. It is safe for concurrent use.
 type Pool struct {
 	all loopback.Set // the open connections, idle or not
 
-	mu     sync.Mutex
-	idle   []*pooledConn // the one that was used last is last
-	opened int64
+	mu       sync.Mutex
+	idle     []*pooledConn // the one that was used last is last
+	opened   int64
+	openOnly bool // no connection may be opened
 }
 
 type pooledConn struct {
@@ -43,8 +48,15 @@
 	p.all.Reset()
 }
 
+// SetOpenOnly sets whether requests may use open connections only.
+func (p *Pool) SetOpenOnly(openOnly bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.openOnly = openOnly
+}
+
 // get returns an idle connection, or a new one if there is none or forceNew is set. It fails if a
-// new one can't be opened by the deadline and within connectTimeout.
+// new one can't be opened by the deadline and within connectTimeout, or may not be opened.
 func (p *Pool) get(addr string, deadline time.Time, connectTimeout time.Duration, forceNew bool) (*pooledConn, error) {
 	p.mu.Lock()
 	if n := len(p.idle); n > 0 && !forceNew {
@@ -53,6 +65,10 @@
 		p.mu.Unlock()
 		return conn, nil
 	}
+	if p.openOnly {
+		p.mu.Unlock()
+		return nil, errNoOpenConnection
+	}
 	p.opened++
 	p.mu.Unlock()
 	conn, err := net.DialTimeout("tcp", addr, min(time.Until(deadline), connectTimeout))
--- a/internal/lab/experiment/agents.go
+++ b/internal/lab/experiment/agents.go
@@ -258,6 +258,15 @@
 func (fl *fleet) reloadAgent(a *agentProcess) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if err := fl.moveDiscovery(a); err != nil {
+		return err
+	}
+	return a.process.Signal(syscall.SIGHUP)
+}
+
+// moveDiscovery changes where an agent discovers servers, in its configuration file too. The caller
+// holds a.mu.
+func (fl *fleet) moveDiscovery(a *agentProcess) error {
 	if fl.controlPlane != nil {
 		fl.toggleControlPlaneServer(a)
 	} else {
@@ -267,10 +276,7 @@
 		}
 		a.discoveryAddr = address
 	}
-	if err := fl.writeAgentConfig(a, false); err != nil {
-		return err
-	}
-	return a.process.Signal(syscall.SIGHUP)
+	return fl.writeAgentConfig(a, false)
 }
 
 // toggleControlPlaneServer removes one of the control-plane servers from those that the agent
--- a/internal/lab/experiment/config.go
+++ b/internal/lab/experiment/config.go
@@ -137,7 +137,8 @@
 	Interval   time.Duration `koanf:"every"` // of periodic faults, and from one target to the next
 	Jitter     time.Duration `koanf:"jitter"`
 	Version    string        `koanf:"version"`
-	Window     time.Duration `koanf:"window"` // length of its measured window; 0: Duration
+	Signals    []string      `koanf:"signals"` // of faultSignals, in order: "hup", "term" and "kill"
+	Window     time.Duration `koanf:"window"`  // length of its measured window; 0: Duration
 }
 
 // Describe returns a fault in a few words: its kind, target and duration.
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -177,11 +177,26 @@
 			return fl.pauseProcess(ctx, f, agent.process)
 		case faultReload:
 			return fl.reloadAgent(agent)
+		case faultSignals, faultCrowd, faultPipeline, faultNoFiles:
+			return fl.faultAgentIrregularly(ctx, f, agent, rand.New(rand.NewPCG(fl.seed, uint64(draws[target]*float64(1<<53)))))
 		}
 		return fl.restartAgent(ctx, agent, draws[target])
 	})
 }
 
+// faultAgentIrregularly injects one of the faults of irregular signals and clients into an agent.
+func (fl *fleet) faultAgentIrregularly(ctx context.Context, f *Fault, agent *agentProcess, rng *rand.Rand) error {
+	switch f.Kind {
+	case faultSignals:
+		return fl.signalAgent(ctx, f, agent, rng)
+	case faultCrowd:
+		return fl.crowdAgent(ctx, f, agent)
+	case faultPipeline:
+		return fl.pipelineRequests(ctx, f, agent, rng)
+	}
+	return fl.withholdDescriptors(ctx, f, agent)
+}
+
 // killAndRestartAgent kills an agent and, if the fault has a duration, starts it again after it.
 func (fl *fleet) killAndRestartAgent(ctx context.Context, f *Fault, agent *agentProcess) error {
 	agent.mu.Lock()
--- /dev/null
+++ b/internal/lab/experiment/irregular.go
@@ -0,0 +1,196 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"knotrouter/internal/lab/check"
+	"knotrouter/internal/lab/client"
+)
+
+// The signals of a series, as experiment files name them.
+const (
+	signalReload    = "hup"
+	signalTerminate = "term"
+	signalKill      = "kill"
+)
+
+var signalNames = []string{signalReload, signalTerminate, signalKill}
+
+const (
+	// killDelay is the time from the longest deadline after SIGTERM to the earliest SIGKILL, and
+	// maxCountedDeadline the longest deadline that counts.
+	killDelay          = 700 * time.Millisecond
+	maxCountedDeadline = 3 * time.Second
+	// maxRestartTime is how long a restarted agent may take to be ready.
+	maxRestartTime = 10 * time.Second
+	// splitPause is the pause within a request that is half sent when SIGTERM comes.
+	splitPause = 120 * time.Millisecond
+	// irregularConnections is how many pipelining clients, and as many that have sent half a request,
+	// an agent has when it is terminated.
+	irregularConnections = 3
+	pipelineDepth        = 6
+	// crowdSettleTime is how long after a crowd has left its descriptors may still be open, and
+	// crowdDescriptorSlack by how many more there may be than before.
+	crowdSettleTime      = 6 * time.Second
+	crowdDescriptorSlack = 64
+)
+
+// signalAgent sends a series of signals to an agent at the fault's interval. Its clients go on using
+// open connections after the first SIGTERM, until the agent has ended or is killed at the earliest
+// moment that the platform allows. An agent that was terminated or killed is started again.
+func (fl *fleet) signalAgent(ctx context.Context, f *Fault, agent *agentProcess, rng *rand.Rand) error {
+	agent.mu.Lock()
+	defer agent.mu.Unlock()
+	ended := agent.process.Ended()
+	var terminatedAt time.Time
+	for i, name := range f.Signals {
+		if i > 0 && !sleep(ctx, f.Interval) {
+			return ctx.Err()
+		}
+		switch name {
+		case signalReload:
+			if err := fl.moveDiscovery(agent); err != nil {
+				return err
+			}
+			_ = agent.process.Signal(syscall.SIGHUP) // it may have ended since
+		case signalTerminate:
+			if terminatedAt.IsZero() {
+				terminatedAt = time.Now()
+				fl.startIrregular(agent, rng)
+				sleep(ctx, splitPause/2)
+			}
+			_ = agent.process.Signal(syscall.SIGTERM)
+		case signalKill:
+			fl.killAgent(agent)
+			<-ended
+			return fl.restartInTime(ctx, agent)
+		}
+	}
+	if terminatedAt.IsZero() {
+		return nil
+	}
+	return fl.awaitTermination(ctx, agent, terminatedAt, ended, rng)
+}
+
+// awaitTermination has the clients of a terminated agent use open connections until its end, kills it
+// at the earliest moment, and starts it again.
+func (fl *fleet) awaitTermination(ctx context.Context, agent *agentProcess, terminatedAt time.Time, ended <-chan struct{}, rng *rand.Rand) error {
+	leaveAfter := time.Duration((minClientLeaveDelay + clientLeaveJitter*rng.Float64()) * float64(time.Second))
+	sleep(ctx, time.Until(terminatedAt.Add(leaveAfter)))
+	fl.clients[agent.index].UseOpenConnectionsOnly()
+	kill := time.NewTimer(time.Until(terminatedAt.Add(min(fl.maxRequestDuration(), maxCountedDeadline) + killDelay)))
+	defer kill.Stop()
+	select {
+	case <-ended:
+	case <-kill.C:
+		fl.killAgent(agent)
+		<-ended
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	fl.clients[agent.index].StopSending()
+	return fl.restartInTime(ctx, agent)
+}
+
+// restartInTime starts an agent. One that is not ready within maxRestartTime breaks a rule.
+func (fl *fleet) restartInTime(ctx context.Context, agent *agentProcess) error {
+	startedAt := time.Now()
+	if err := fl.startAgent(ctx, agent); err != nil {
+		return err
+	}
+	if took := time.Since(startedAt); took > maxRestartTime {
+		fl.checker.ReportBreach(check.RuleLimit, agent.index, fmt.Sprintf("ready %v after its start", took))
+	}
+	return nil
+}
+
+// drawIrregular draws the requests of one irregular connection.
+func (fl *fleet) drawIrregular(rng *rand.Rand, count int) []client.Arrival {
+	arrivals := make([]client.Arrival, count)
+	for i := range arrivals {
+		class := rng.IntN(len(fl.config.Load.Classes))
+		arrivals[i] = client.Arrival{Class: class, Key: 1 + rng.Uint64N(1000), Seed: rng.Uint64(),
+			Work: fl.config.Load.Classes[class].Work * rng.Float64()}
+	}
+	return arrivals
+}
+
+// startIrregular has clients pipeline requests to an agent, and others send half a request now and
+// the rest after splitPause. Their requests end by themselves.
+func (fl *fleet) startIrregular(agent *agentProcess, rng *rand.Rand) {
+	for range irregularConnections {
+		pipelined := client.Irregular{Arrivals: fl.drawIrregular(rng, pipelineDepth)}
+		split := client.Irregular{Arrivals: fl.drawIrregular(rng, 1), SplitPause: splitPause}
+		go fl.clients[agent.index].SendIrregular(pipelined)
+		go fl.clients[agent.index].SendIrregular(split)
+	}
+}
+
+// pipelineRequests has a client pipeline f.Size requests at the fault's interval while the fault lasts.
+func (fl *fleet) pipelineRequests(ctx context.Context, f *Fault, agent *agentProcess, rng *rand.Rand) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Duration)
+	defer cancel()
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		irregular := client.Irregular{Arrivals: fl.drawIrregular(rng, int(f.Size))}
+		running.Go(func() { fl.clients[agent.index].SendIrregular(irregular) })
+		if !sleep(ctx, f.Interval) {
+			return nil
+		}
+	}
+}
+
+// crowdAgent opens f.Size connections to an agent and keeps them idle while the fault lasts; f.Share
+// of them have sent a part of a request. The agent's descriptors must be released after that.
+func (fl *fleet) crowdAgent(ctx context.Context, f *Fault, agent *agentProcess) error {
+	before, _, _ := agent.process.SampleUsage()
+	partial := int(f.Size * f.Share)
+	done := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() { fl.clients[agent.index].HoldConnections(int(f.Size)-partial, "", done) })
+	running.Go(func() {
+		fl.clients[agent.index].HoldConnections(partial, "GET /"+strings.Repeat("x", 40)+" HTTP/1.1\r\nHost: ", done)
+	})
+	sleep(ctx, f.Duration)
+	close(done)
+	running.Wait()
+	runs := agent.process.StartCount()
+	if !sleep(ctx, crowdSettleTime) || agent.process.StartCount() != runs || !agent.process.Runs() {
+		return nil
+	}
+	if after, _, _ := agent.process.SampleUsage(); after.Descriptors > before.Descriptors+crowdDescriptorSlack {
+		fl.checker.ReportBreach(check.RuleLimit, agent.index, fmt.Sprintf("%d descriptors %v after a crowd has left, %d before it came",
+			after.Descriptors, crowdSettleTime, before.Descriptors))
+	}
+	return nil
+}
+
+// withholdDescriptors lets an agent open no further descriptor while the fault lasts, so that accept,
+// socket and open fail with EMFILE.
+func (fl *fleet) withholdDescriptors(ctx context.Context, f *Fault, agent *agentProcess) error {
+	pid := agent.process.PID()
+	if pid == 0 {
+		return nil
+	}
+	var previous unix.Rlimit
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &previous); err != nil {
+		return err
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 0, Max: previous.Max}, nil); err != nil {
+		return err
+	}
+	sleep(ctx, f.Duration)
+	if agent.process.PID() != pid {
+		return nil // it was started again meanwhile
+	}
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &previous, nil)
+}
--- a/internal/lab/experiment/validate.go
+++ b/internal/lab/experiment/validate.go
@@ -248,8 +248,14 @@
 		return configfile.NewKeyError(at+"version", "no version %q", f.Version)
 	case f.Class != "" && c.classIndex(f.Class) < 0:
 		return configfile.NewKeyError(at+"class", "no class %q", f.Class)
-	case c.ControlPlane.Count > 0 && (kind == targetDiscovery || f.Kind == faultReload && c.ControlPlane.AgentAccess != "all"):
+	case c.ControlPlane.Count > 0 && (kind == targetDiscovery || (f.Kind == faultReload || slices.Contains(f.Signals, signalReload)) && c.ControlPlane.AgentAccess != "all"):
 		return configfile.NewKeyError(at+"target", "with stewards the stand-in is not there")
+	case (f.Kind == faultSignals) != (len(f.Signals) > 0) || slices.ContainsFunc(f.Signals, func(name string) bool { return !slices.Contains(signalNames, name) }):
+		return configfile.NewKeyError(at+"signals", "a series of %s, for the kind %s only", strings.Join(signalNames, ", "), faultSignals)
+	case (f.Kind == faultCrowd || f.Kind == faultPipeline || f.Kind == faultNoFiles) && f.Duration == 0:
+		return configfile.NewKeyError(at+"for", "missing")
+	case f.Kind == faultPipeline && f.Interval == 0:
+		return configfile.NewKeyError(at+"every", "missing")
 	case f.Kind == faultMute && c.ControlPlane.Count == 0:
 		return configfile.NewKeyError(at+"kind", "mute is of renewals, and there are no stewards to hear any")
 	case kind == targetLoad && f.AfterEvent != "":
--- a/internal/lab/process/process.go
+++ b/internal/lab/process/process.go
@@ -149,6 +149,16 @@
 	return p.startCount
 }
 
+// PID returns the process's ID, or 0 if it does not run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isRunning() {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Signal sends a signal to the process, not to processes that it started. SIGTERM, SIGINT and
 // SIGKILL make the end of the run an expected one. It returns ErrNotRunning if the process does not
 // run.
--- /dev/null
+++ b/internal/lab/soak/draw_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"knotrouter/internal/lab/experiment"
+)
+
+// Every seed draws a valid experiment, and the same one each time; other seeds draw other ones.
+func TestDrawnExperimentsAreValid(t *testing.T) {
+	texts := map[string]uint64{}
+	for seed := range uint64(300) {
+		for _, duration := range []time.Duration{MinDuration, time.Minute} {
+			e := Draw(seed, duration)
+			if _, err := experiment.Parse([]byte(e.Text())); err != nil {
+				t.Fatalf("seed %d for %v: %v in\n%s", seed, duration, err, e.Text())
+			}
+			if again := Draw(seed, duration).Text(); again != e.Text() {
+				t.Fatalf("seed %d for %v draws two experiments", seed, duration)
+			}
+			text := strings.ReplaceAll(e.Text(), e.Name, "")
+			if other, known := texts[text]; known {
+				t.Errorf("seeds %d and %d draw the same", seed, other)
+			}
+			texts[text] = seed
+		}
+	}
+}
+
+// An experiment without one of its faults is valid and has the others.
+func TestWithoutDropsOneFault(t *testing.T) {
+	e := Draw(1, time.Minute)
+	for i := range e.Faults {
+		smaller := e.Without(i)
+		if _, err := experiment.Parse([]byte(smaller.Text())); err != nil {
+			t.Fatal(err)
+		}
+		if len(smaller.Faults) != len(e.Faults)-1 || strings.Contains(smaller.Text(), `"`+e.Faults[i].Name+`"`) {
+			t.Errorf("without %s: %d faults of %d", e.Faults[i].Name, len(smaller.Faults), len(e.Faults))
+		}
+	}
+}
