Return the error of the writer of a table

Callers saw: `controlplane duties > /dev/full` and the lab's tables ended with exit code 0 though nothing was written. The library's renderer drops the error of its writer; a writer around it now keeps the first one. TestTableReturnsErrorOfWriter failed before for both forms (nil).

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -2,6 +2,7 @@
 package table
 
 import (
+	"errors"
 	"fmt"
 	"io"
 
@@ -11,8 +12,7 @@
 )
 
 // Terminal writes a table without a frame. Its cells are aligned to the right if they are numbers, and
-// to the left otherwise. It returns an error if the table can't be laid out; the renderer drops the
-// errors of w.
+// to the left otherwise. It returns an error if the table can't be laid out, or the first one of w.
 func Terminal(w io.Writer, numbers bool, header []string, rows [][]string) error {
 	rendition := tw.Rendition{
 		Symbols: tw.NewSymbols(tw.StyleLight),
@@ -37,14 +37,30 @@
 
 // write lays a table out for a renderer and writes it.
 func write(w io.Writer, r tw.Renderer, alignment tw.Align, header []string, rows [][]string) error {
-	t := tablewriter.NewTable(w, tablewriter.WithRenderer(r), tablewriter.WithHeaderAutoFormat(tw.Off),
+	out := &failureRecorder{w: w}
+	t := tablewriter.NewTable(out, tablewriter.WithRenderer(r), tablewriter.WithHeaderAutoFormat(tw.Off),
 		tablewriter.WithRowAlignment(alignment), tablewriter.WithHeaderAlignment(alignment))
 	t.Header(header)
 	if err := t.Bulk(rows); err != nil {
 		return fmt.Errorf("table: %w", err)
 	}
-	if err := t.Render(); err != nil {
+	if err := errors.Join(t.Render(), out.err); err != nil {
 		return fmt.Errorf("table: %w", err)
 	}
 	return nil
 }
+
+// failureRecorder is a writer that keeps the first error of another one, as the renderer drops it.
+type failureRecorder struct {
+	w   io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (r *failureRecorder) Write(p []byte) (int, error) {
+	n, err := r.w.Write(p)
+	if r.err == nil {
+		r.err = err
+	}
+	return n, err
+}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"testing"
 )
 
@@ -32,3 +33,20 @@
 		})
 	}
 }
+
+// errDiskFull is the error of failingWriter.
+var errDiskFull = errors.New("disk full")
+
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, errDiskFull }
+
+// The error of the writer is returned.
+func TestTableReturnsErrorOfWriter(t *testing.T) {
+	header, rows := []string{"name"}, [][]string{{"a"}}
+	for name, err := range map[string]error{"terminal": Terminal(failingWriter{}, false, header, rows), "markdown": Markdown(failingWriter{}, header, rows)} {
+		if !errors.Is(err, errDiskFull) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
