Read a list whose one entry can't be read

Callers saw: requests sent to a draining server after the grace (234 in 1.4 s) when the change that told of it also held an entry that can't be read, as another program may write it.

Cause: endpoints.Parse returned an error for the first such entry, which ended the watch; nothing else of the list was taken, again at each call.

The agent logs the first one.

--- a/cmd/agent/notification_test.go
+++ b/cmd/agent/notification_test.go
@@ -180,6 +180,10 @@
 			time.Sleep(rest)
 			fmt.Fprint(c, chunk("\n"))
 		}, rest},
+		"beside an entry that can't be read": {func(d *drainRun, c net.Conn) {
+			fmt.Fprint(c, chunk(strings.Replace(d.changeLine, `"hosts":[`, `"hosts":[{"host":"s-9","dial":"nowhere","health":7},`, 1)))
+			time.Sleep(rest)
+		}, rest},
 		"cut before the entry, the next call is served": {func(d *drainRun, c net.Conn) {
 			fmt.Fprint(c, chunk(d.changeLine[:20]))
 		}, 0},
--- a/internal/agent/endpointlist.go
+++ b/internal/agent/endpointlist.go
@@ -80,6 +80,9 @@
 func (l *loop) applyList(kind policy.ListKind, list *endpoints.List) {
 	l.listVersion = list.Seq
 	l.log.Debug("list taken", "version", list.Seq, "entries", len(list.Endpoints))
+	if list.Problem != nil {
+		l.warnDiscovery("discovery: unreadable entry of a list", "list_version", list.Seq, "err", list.Problem)
+	}
 	l.applyEntries(&policy.Event{Kind: policy.EvList, List: kind}, list)
 }
 
