Charge no server and no retry budget for local failures of connects

Callers saw: nothing served for 1.1 s after connects had failed for 0.6 s for want of ports, buffers or memory of the agent's own machine.

Cause: such an attempt counts as a full server, so four of them use up the retry budget, and the server's limit shrinks. A connect that ran into its deadline after local failures counted as the server's, which ejects it.

Fix: the outcome says that the failure is local (policy.Event.Local): it frees the request for its next attempt and is no evidence of a server. A connect keeps its last local error until its deadline. The number of attempts of a request is bounded as before.

--- a/cmd/agent/syscallfault_test.go
+++ b/cmd/agent/syscallfault_test.go
@@ -195,8 +195,8 @@
 	// fail after one connect timeout of the settings (150 ms), and one more after two. The fourth
 	// attempt, which ends at 450 ms, is under way when connects succeed again.
 	connectFaultTime = 400 * time.Millisecond
-	// maxConnectFaultTime is three connect timeouts. In a longer fault the fourth attempt fails too, which
-	// uses up the retry budget: the agent sends nothing for a second, as it is meant to.
+	// maxConnectFaultTime is three connect timeouts. In a longer fault by the network the fourth attempt
+	// fails too, which uses up the retry budget: the agent sends nothing for a second, as it is meant to.
 	maxConnectFaultTime = 3 * 150 * time.Millisecond
 	// maxConnectFaultRuns bounds the runs of one fault.
 	maxConnectFaultRuns = 10
@@ -246,6 +246,33 @@
 	return faultTime
 }
 
+// While connects fail for lack of a local resource for as many attempts as use up the retry budget, every
+// request gets its final response, and the server is used again as soon as connects succeed: the failures
+// are not the server's, and nothing was sent.
+func TestConnectsFailLocallyForLong(t *testing.T) {
+	const lasts, interval = 600 * time.Millisecond, 20 * time.Millisecond
+	for _, fault := range []string{"connect:EADDRNOTAVAIL", "connect:ENOBUFS", "connect:ENOMEM"} {
+		t.Run(fault, func(t *testing.T) {
+			t.Parallel()
+			listen := freeAddr(t)
+			p := startFaulty(t, fault, programConfig(listen, "127.0.0.1:1", okServer(t), 1024), false)
+			waitReady(t, listen, p.stderr)
+			p.setFaults(true)
+			failingSince := time.Now()
+			var requests sync.WaitGroup
+			for i := 0; time.Since(failingSince) < lasts; i++ {
+				requests.Go(func() { checkFinalResponse(t, listen, i) })
+				time.Sleep(interval)
+			}
+			p.setFaults(false)
+			succeedingSince := time.Now()
+			requests.Wait()
+			p.checkServedAgain(listen, succeedingSince)
+			p.requireRunning()
+		})
+	}
+}
+
 // checkFinalResponse sends request i and checks that it is answered within its timeout.
 func checkFinalResponse(t *testing.T, listen string, i int) {
 	t.Helper()
--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -135,7 +135,7 @@
 	}
 	l.dispatch(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: a.index, Server: b.addr,
 		Status: res.status, LatencyMs: float64(res.latency) / float64(time.Millisecond),
-		Final: r.answered, Report: parseLoadReport(res.loadReport, l.settings.Report.Names)})
+		Final: r.answered, Local: res.local, Report: parseLoadReport(res.loadReport, l.settings.Report.Names)})
 	l.removeIfDone(r)
 }
 
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"knotrouter/internal/transient"
 	"knotrouter/policy"
 )
 
@@ -131,6 +132,7 @@
 	body        []byte
 	contentType string // the response's Content-Type
 	loadReport  string // the response's load report
+	local       bool   // it failed for lack of a resource of this machine, before a byte was written
 	err         error  // why no complete response arrived; nil: one did
 }
 
@@ -150,6 +152,7 @@
 	}
 	if err != nil {
 		res.status, res.err = a.failureStatus(err), err
+		res.local = res.status == policy.Full && transient.IsLocal(err)
 		if c := a.conn.Load(); c != nil {
 			c.Close()
 		}
--- a/internal/agent/dialer.go
+++ b/internal/agent/dialer.go
@@ -94,17 +94,25 @@
 }
 
 // connectWithRetry calls connect again while it fails for lack of a local resource or of a network
-// route, with a backoff, until ctx ends. The last error is joined with errNoSockets if a local
-// resource was missing.
+// route, with a backoff, until ctx ends. The error is joined with errNoSockets and the last local error
+// if a local resource was missing until ctx ended: the attempt that ran into that end had no time of its
+// own.
 func connectWithRetry(ctx context.Context, connect func(ctx context.Context) (net.Conn, error)) (net.Conn, error) {
+	var localErr error
 	for retries := 0; ; retries++ {
 		c, err := connect(ctx)
+		if err == nil {
+			return c, nil
+		}
 		local := transient.IsLocal(err)
-		if err == nil || !local && !transient.IsNetwork(err) || !transient.Backoff(ctx, retries) {
-			if local {
-				err = errors.Join(errNoSockets, err)
+		if local {
+			localErr = err
+		}
+		if !local && !transient.IsNetwork(err) || !transient.Backoff(ctx, retries) {
+			if localErr != nil && (local || ctx.Err() != nil) {
+				err = errors.Join(errNoSockets, localErr, err)
 			}
-			return c, err
+			return nil, err
 		}
 	}
 }
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -99,9 +99,11 @@
 	}
 	a := r.attempts[ev.Attempt]
 	b.endAttempt(a, ev.Status)
-	b.closeIdle(a.server)
-	b.chargeRetryBudget(r, ev.Status)
-	b.recordOutcome(a, ev.Status, sanitize(ev.LatencyMs))
+	if !ev.Local { // a local failure shows nothing of the servers, and costs them nothing
+		b.closeIdle(a.server)
+		b.chargeRetryBudget(r, ev.Status)
+		b.recordOutcome(a, ev.Status, sanitize(ev.LatencyMs))
+	}
 	if r.closed || r.responseStarted || ev.Final || ev.Status == OK {
 		b.closeRequest(r)
 	} else {
--- a/policy/types.go
+++ b/policy/types.go
@@ -83,7 +83,7 @@
 // The kinds of events, with the fields that are set.
 const (
 	EvRequest         EventKind = iota + 1 // Request, Class, Tenant, Key, RemainingMs, HintMs, HasHint, Retry
-	EvOutcome                              // Request, Attempt, Server, Status, LatencyMs, Final, Report
+	EvOutcome                              // Request, Attempt, Server, Status, LatencyMs, Final, Local, Report
 	EvResponseStarted                      // Request, Attempt, Server, LatencyMs: a streamed response began
 	EvClientCanceled                       // Request: its client gave up
 	EvList                                 // List, Entries, AgeMs
@@ -108,6 +108,7 @@
 	Status      Status
 	LatencyMs   float64
 	Final       bool      // the request is finished
+	Local       bool      // the attempt failed for lack of a resource of the agent's own machine
 	Report      []float32 // load report; its values are named by Settings.Report
 	List        ListKind
 	AgeMs       float64 // of a partial list: time since the answer began
