Count the age of a connection that may give way from its arrival

Callers saw: a request behind a crowd of 416 idle and stalled connections, at an agent with 72 places, got no answer within its 2.5 s.

Cause: a connection had to be held for 0.25 to 0.5 s before it could give way, also one that had waited in the kernel's queue for longer, so a crowd passed at 72 connections in that time.

Fix: the time in the queue counts, as the deadline of a request does; what has come with a connection is still read for 50 ms.

--- a/internal/agent/clientconns.go
+++ b/internal/agent/clientconns.go
@@ -17,9 +17,12 @@
 	rejectTimeout = 5 * time.Millisecond
 	// A connection is evicted for a waiting one after minIdleBeforeEviction between requests,
 	// minUnusedBeforeEviction without any request, or minReadingBeforeEviction within a head or body.
+	// The last two count from the arrival in the kernel's queue, so that a crowd which has waited there
+	// gives way quickly; but what has arrived with a connection is read for minServedBeforeEviction.
 	minIdleBeforeEviction    = 100 * time.Millisecond
 	minUnusedBeforeEviction  = 250 * time.Millisecond
 	minReadingBeforeEviction = 500 * time.Millisecond
+	minServedBeforeEviction  = 50 * time.Millisecond
 	// maxReadAheadBuf is how many bytes behind the current request are kept: those of a request of the
 	// largest size. maxReadAheadTotal is how many are kept of all connections together.
 	maxReadAheadBuf   = maxBodyBytes + 8<<10
@@ -100,14 +103,34 @@
 	}
 }
 
+// mayBeEvicted reports whether the connection may give way to a waiting one. The lock must be held.
+func (c *clientConn) mayBeEvicted(now time.Time) bool {
+	inStage := now.Sub(c.stageSince)
+	switch {
+	case c.stage == connIdle && c.answered:
+		return inStage >= minIdleBeforeEviction
+	case c.stage == connIdle:
+		return inStage >= minServedBeforeEviction && max(inStage, sinceArrival(c.connectedAt, now)) >= minUnusedBeforeEviction
+	case c.stage == connReading:
+		return inStage >= minServedBeforeEviction && max(inStage, sinceArrival(c.requestArrivedAt, now)) >= minReadingBeforeEviction
+	}
+	return false
+}
+
+// sinceArrival returns the time since an arrival, or 0 if that is unknown.
+func sinceArrival(arrivedAt, now time.Time) time.Duration {
+	if arrivedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(arrivedAt)
+}
+
 // evictOne closes the connection that has been idle for longest or, if none is idle, the slowest
 // one. Neither has a response outstanding. The lock must be held.
 func (cs *clientConns) evictOne(now time.Time) {
 	var victim *clientConn
 	for c := range cs.conns {
-		age := now.Sub(c.stageSince)
-		if c.stage == connIdle && (c.answered && age >= minIdleBeforeEviction || age >= minUnusedBeforeEviction) ||
-			c.stage == connReading && age >= minReadingBeforeEviction {
+		if c.mayBeEvicted(now) {
 			if victim == nil || c.stage < victim.stage || c.stage == victim.stage && c.stageSince.Before(victim.stageSince) {
 				victim = c
 			}
