Lab: end an attempt before its connection is reset

The emulated server reset the connection and recorded the attempt's end after that, so an agent could send the next attempt in between. The end is recorded first now, as before an answer. No check changes.

--- a/internal/lab/server/http.go
+++ b/internal/lab/server/http.go
@@ -183,7 +183,8 @@
 	switch {
 	case s.drawFault(faults.ResetShare):
 		s.Aborted.Add(1)
-		c.reset() // it panics, so that nothing below runs
+		attempt.MarkFinished() // before the agent sees the reset and may send the next attempt
+		c.reset()              // it panics, so that nothing below runs
 	case s.drawFault(faults.LostShare):
 		s.Aborted.Add(1)
 		<-r.Context().Done()
@@ -200,6 +201,7 @@
 		s.Aborted.Add(1)
 		_, _ = io.WriteString(w, body[:len(body)/2])
 		_ = http.NewResponseController(w).Flush()
+		attempt.MarkFinished()
 		c.reset() // as above
 	}
 	// Once the agent has the response it may send the next attempt, so this one ends before.
