--- a/internal/lab/experiment/irregular.go
+++ b/internal/lab/experiment/irregular.go
@@ -112,11 +112,12 @@
 	return nil
 }
 
-// drawIrregular draws the requests of one irregular connection.
+// drawIrregular draws the requests of one irregular connection. They are of one class, as one with a
+// shorter deadline could not be answered before those in front of it.
 func (fl *fleet) drawIrregular(rng *rand.Rand, count int) []client.Arrival {
 	arrivals := make([]client.Arrival, count)
+	class := rng.IntN(len(fl.config.Load.Classes))
 	for i := range arrivals {
-		class := rng.IntN(len(fl.config.Load.Classes))
 		arrivals[i] = client.Arrival{Class: class, Key: 1 + rng.Uint64N(1000), Seed: rng.Uint64(),
 			Work: fl.config.Load.Classes[class].Work * rng.Float64()}
 	}
