Hold that a malformed list ends its watch and an unreadable entry does not

TestMalformedLineEndsWatch used an unreadable entry as its malformed line, which no longer ends a watch; its run waited without end. It uses a line that is no list now, and TestUnreadableEntryIsDelivered holds that the entry counts as draining and that the watch goes on.

--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -77,7 +77,7 @@
 
 // A watch ends at a malformed line, after delivering the lines before it.
 func TestMalformedLineEndsWatch(t *testing.T) {
-	d, observed := scriptedDiscovery(t, noTimeout, true, "", changeLine, `{"seq":3,"hosts":[{"host":"s-0","health":"odd"}]}`)
+	d, observed := scriptedDiscovery(t, noTimeout, true, "", changeLine, `{"seq":3,"hosts":7}`)
 	d.watch(context.Background(), 1)
 	if e := <-observed; e.kind != eventListChanged || e.list.Seq != 2 || e.list.Endpoints[0].Health != "draining" {
 		t.Fatalf("got event %+v", e)
@@ -87,6 +87,21 @@
 	}
 }
 
+// A server whose entry can't be read is delivered as draining, and the watch goes on.
+func TestUnreadableEntryIsDelivered(t *testing.T) {
+	d, observed := scriptedDiscovery(t, noTimeout, true, `{"seq":3,"hosts":[{"host":"s-0","health":"odd"}]}`, changeLine)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go d.watch(ctx, 1)
+	e := receive(t, "the list with the entry", observed)
+	if e.kind != eventListChanged || e.list.Seq != 3 || e.list.Endpoints[0].Health != endpoints.Draining || e.list.Problem == nil {
+		t.Fatalf("got event %+v", e)
+	}
+	if e := receive(t, "the next list", observed); e.kind != eventListChanged || e.list.Seq != 2 {
+		t.Fatalf("got event %+v", e)
+	}
+}
+
 // A watch on which nothing arrives ends.
 func TestUnresponsiveWatchEnds(t *testing.T) {
 	d, observed := scriptedDiscovery(t, time.Millisecond, true)
