Sync the folder after a file was replaced

WriteFileAtomic synced the file and renamed it, but not the folder. TestFolderIsSyncedAfterTheRename holds the order of the calls and that a failure is returned; the function that it passes did not exist before.

--- a/internal/control/statecopies.go
+++ b/internal/control/statecopies.go
@@ -70,13 +70,17 @@
 // WriteFileAtomic replaces the file of this name by one with the given text and mode 0600. A
 // reader finds either the old file or the complete new one, also after a crash of this process:
 // the text is written and synced under the name with ".part" appended, and then renamed. The
-// folder isn't synced, so that after a power failure the old file may be back. Two calls for one
-// name must not run at the same time. On an error the ".part" file may be left.
+// folder is synced after the rename, so that a power failure does not bring the old file back. Two calls
+// for one name must not run at the same time. On an error the ".part" file may be left, or the new file be
+// in place without having reached the disk.
 //
 // This is not github.com/google/renameio, which would be a new dependency for the sake of one
 // function and differs: it writes under random names, so that files that a crash left behind
 // add up instead of being overwritten, and it keeps the mode of the old file.
-func WriteFileAtomic(name string, text []byte) error {
+func WriteFileAtomic(name string, text []byte) error { return writeFileAtomic(name, text, syncFolder) }
+
+// writeFileAtomic is WriteFileAtomic with the function that syncs a folder.
+func writeFileAtomic(name string, text []byte, syncFolder func(dir string) error) error {
 	part := name + ".part"
 	f, err := os.OpenFile(part, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -86,5 +90,17 @@
 	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
 		return err
 	}
-	return os.Rename(part, name)
+	if err := os.Rename(part, name); err != nil {
+		return err
+	}
+	return syncFolder(filepath.Dir(name))
+}
+
+// syncFolder writes the entries of a folder to the disk.
+func syncFolder(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
 }
--- /dev/null
+++ b/internal/control/statecopies_test.go
@@ -0,0 +1,32 @@
+package control
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// TestFolderIsSyncedAfterTheRename holds that the folder is synced once the new file has its name, and
+// that a failure of that is returned.
+func TestFolderIsSyncedAfterTheRename(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "copy")
+	errSync := errors.New("input/output error")
+	for _, want := range []error{nil, errSync} {
+		if err := os.WriteFile(name, []byte("old"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		synced := ""
+		err := writeFileAtomic(name, []byte("new"), func(dir string) error {
+			text, _ := os.ReadFile(name)
+			synced = dir + " with " + string(text)
+			return want
+		})
+		if !errors.Is(err, want) || synced != filepath.Dir(name)+" with new" {
+			t.Errorf("synced %q, returned %v, want %v", synced, err, want)
+		}
+	}
+	if err := WriteFileAtomic(name, []byte("newer")); err != nil {
+		t.Error(err)
+	}
+}
