Publish the gossip node and the task runner to requests during the start

HTTP is served before both are set, and handlers and /metrics read them without synchronization. They are atomic pointers now, nil until they have started, as raft's instance is.

--- a/internal/control/controltasks.go
+++ b/internal/control/controltasks.go
@@ -81,7 +81,7 @@
 	s.cancelTaskRunner, s.taskRunnerDone = cancel, make(chan struct{})
 	client := NewClient(nil, pollTimeout+pollMargin)
 	client.AddressSource = s.serverAddresses
-	s.taskRunner = leaderelection.NewRunner(leaderelection.Config{
+	runner := leaderelection.NewRunner(leaderelection.Config{
 		Process:  s.config.Name,
 		MaxTasks: maxControlTasks,
 		Service:  client,
@@ -93,9 +93,10 @@
 			votersTask:    leaderCallFunction(client, "/v1/voters", votersInterval),
 		},
 	})
+	s.taskRunner.Store(runner)
 	go func() {
 		defer close(s.taskRunnerDone)
-		s.taskRunner.Run(ctx)
+		runner.Run(ctx)
 	}()
 }
 
--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -49,8 +49,8 @@
 //     guard the fields of their structs
 //
 // The fields of Server outside the group of leaderMu are atomic, or are set before the goroutines
-// that read them start. The exceptions are gossip and taskRunner: HTTP requests are served before
-// they are set, and find them nil until then.
+// that read them start. HTTP requests are served before gossipNode and taskRunner are set, and find
+// them nil until then.
 //
 // # Disk
 //
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	s.gossip = g
+	s.gossipNode.Store(g)
 	return nil
 }
 
@@ -80,20 +80,20 @@
 // name in the request, both do nothing.
 func (s *Server) openAgentSession(r *http.Request) func() {
 	name := r.Header.Get(endpoints.MemberHeader)
-	if s.gossip == nil || !endpoints.IsToken(name, endpoints.MaxName) {
+	if s.gossip() == nil || !endpoints.IsToken(name, endpoints.MaxName) {
 		return func() {}
 	}
 	bootID := r.Header.Get(endpoints.BootIDHeader)
 	info := member.Info{ProtocolVersion: member.ProtocolVersion, Name: name, Role: member.RoleAgent, InstanceID: bootID[:min(len(bootID), maxBootIDBytes)]}
-	s.gossip.WithTracker(func(now time.Duration, t *member.Tracker) { t.SessionOpened(now, info) })
+	s.gossip().WithTracker(func(now time.Duration, t *member.Tracker) { t.SessionOpened(now, info) })
 	return func() {
-		s.gossip.WithTracker(func(now time.Duration, t *member.Tracker) { t.SessionClosed(now, name) })
+		s.gossip().WithTracker(func(now time.Duration, t *member.Tracker) { t.SessionClosed(now, name) })
 	}
 }
 
 // handleAgentLeave records that an agent has shut down gracefully.
 func (s *Server) handleAgentLeave(w http.ResponseWriter, r *http.Request) {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		http.Error(w, "gossip: off at this steward", http.StatusNotFound)
 		return
 	}
@@ -102,15 +102,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.gossip.WithTracker(func(now time.Duration, t *member.Tracker) { t.Leave(now, info) })
+	s.gossip().WithTracker(func(now time.Duration, t *member.Tracker) { t.Leave(now, info) })
 	writeJSON(w, struct{}{})
 }
 
 // wasPaused reports whether this process was recently suspended or starved, so that an answer that
 // it missed is no evidence against the server that was asked. Without gossip it returns false.
 func (s *Server) wasPaused() (paused bool) {
-	if s.gossip != nil {
-		s.gossip.WithTracker(func(now time.Duration, t *member.Tracker) { paused = t.SelfSuspect(now) })
+	if s.gossip() != nil {
+		s.gossip().WithTracker(func(now time.Duration, t *member.Tracker) { paused = t.SelfSuspect(now) })
 	}
 	return paused
 }
@@ -118,20 +118,20 @@
 // absentProcesses returns the names of the processes that gossip and aren't present in the
 // membership view. Without gossip it returns nil.
 func (s *Server) absentProcesses() map[string]bool {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		return nil
 	}
 	absent := map[string]bool{}
-	s.gossip.WithTracker(func(_ time.Duration, t *member.Tracker) { t.AddAbsent(absent) })
+	s.gossip().WithTracker(func(_ time.Duration, t *member.Tracker) { t.AddAbsent(absent) })
 	return absent
 }
 
 // gossipCounts returns the gossip counters by their name in the metrics, or nil without gossip.
 func (s *Server) gossipCounts() map[string]float64 {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		return nil
 	}
-	c := s.gossip.Counts()
+	c := s.gossip().Counts()
 	return map[string]float64{
 		"old":        float64(c.Stale),
 		"held":       float64(c.Deferred),
--- a/internal/control/incarnation.go
+++ b/internal/control/incarnation.go
@@ -71,7 +71,7 @@
 		s.takeIncarnation(registered.Incarnation)
 		return nil
 	}
-	if current := s.gossip.Self().Incarnation; current > 0 && registered.Incarnation > current {
+	if current := s.gossip().Self().Incarnation; current > 0 && registered.Incarnation > current {
 		return &supersededError{s.config.Name, registered.ID == s.dataID}
 	}
 	return s.requestIncarnation(request)
@@ -89,10 +89,10 @@
 
 // takeIncarnation gossips this process's incarnation number, if it is new.
 func (s *Server) takeIncarnation(incarnation int64) {
-	if s.gossip.Self().Incarnation == incarnation {
+	if s.gossip().Self().Incarnation == incarnation {
 		return
 	}
-	s.gossip.UpdateSelf(func(i *member.Info) { i.Incarnation = incarnation })
+	s.gossip().UpdateSelf(func(i *member.Info) { i.Incarnation = incarnation })
 	s.log.Info("incarnation number obtained", "incarnation", incarnation)
 }
 
@@ -125,10 +125,10 @@
 // includes one that is suspect or joining. It returns the identity of its data folder, "" if that is
 // not known.
 func (s *Server) presentMember(name string) (dataID string, present bool) {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		return "", false
 	}
-	s.gossip.WithTracker(func(_ time.Duration, t *member.Tracker) { dataID, present = t.InstanceID(name) })
+	s.gossip().WithTracker(func(_ time.Duration, t *member.Tracker) { dataID, present = t.InstanceID(name) })
 	return dataID, present
 }
 
--- a/internal/control/members.go
+++ b/internal/control/members.go
@@ -55,11 +55,11 @@
 
 // handleMemberView answers with the membership view.
 func (s *Server) handleMemberView(w http.ResponseWriter, _ *http.Request) {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		http.Error(w, "gossip: off at this steward", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, s.gossip.View())
+	writeJSON(w, s.gossip().View())
 }
 
 // ReadMemberViews reads the membership views of the control-plane servers at the given addresses,
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -147,16 +147,18 @@
 // of all by their state.
 func addTaskMetrics(f promauto.Factory, s *Server) {
 	addGauge(f, "duties_held_here", "Duties whose functions run here.", func() float64 {
-		if s.taskRunner == nil {
+		runner := s.taskRunner.Load()
+		if runner == nil {
 			return 0
 		}
-		return float64(s.taskRunner.Active())
+		return float64(runner.Active())
 	})
 	addCounter(f, "duties_overdue_total", "Functions of duties that did not return in time.", func() float64 {
-		if s.taskRunner == nil {
+		runner := s.taskRunner.Load()
+		if runner == nil {
 			return 0
 		}
-		return float64(s.taskRunner.Overdue())
+		return float64(runner.Overdue())
 	})
 	for state, is := range map[string]func(t *catalog.LeasedTask) bool{
 		"held":   func(t *catalog.LeasedTask) bool { return t.Holder != "" },
@@ -230,11 +232,11 @@
 
 // Collect implements prometheus.Collector.
 func (c *memberCollector) Collect(ch chan<- prometheus.Metric) {
-	if c.server.gossip == nil {
+	if c.server.gossip() == nil {
 		return
 	}
 	type roleState struct{ role, state string }
-	view := c.server.gossip.View()
+	view := c.server.gossip().View()
 	counts := map[roleState]int{}
 	for i := range view.Members {
 		counts[roleState{string(view.Members[i].Role), string(view.Members[i].State)}]++
--- a/internal/control/renewals.go
+++ b/internal/control/renewals.go
@@ -14,7 +14,7 @@
 // observeRenewals records which servers renewed at this server, before the renewals are
 // forwarded to the leader. It leaves the body of the request readable.
 func (s *Server) observeRenewals(w http.ResponseWriter, r *http.Request) error {
-	if s.gossip == nil {
+	if s.gossip() == nil {
 		return nil
 	}
 	text, err := readBody(w, r)
@@ -40,7 +40,7 @@
 			}
 		}
 	})
-	s.gossip.WithTracker(func(now time.Duration, t *member.Tracker) {
+	s.gossip().WithTracker(func(now time.Duration, t *member.Tracker) {
 		for _, ref := range known {
 			info := member.Info{
 				ProtocolVersion: member.ProtocolVersion,
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -74,12 +74,12 @@
 	clockAtElection    time.Duration               // the state's clock at electedAt
 	electedAt          time.Time
 
-	gossip         *gossip.Node // nil if gossip is not configured
+	gossipNode     atomic.Pointer[gossip.Node] // nil if gossip is not configured, and while it has not started
 	observations   failureObservations
 	evidenceCalls  atomic.Int64 // evidence requests in flight
 	memberFailures memberFailures
 
-	taskRunner       *leaderelection.Runner
+	taskRunner       atomic.Pointer[leaderelection.Runner] // nil while it has not started
 	cancelTaskRunner context.CancelFunc
 	taskRunnerDone   chan struct{}
 	openPolls        atomic.Int64 // requests that wait for a change of assignments
@@ -155,7 +155,7 @@
 	s.startGoroutine(s.leaderLoop)
 	s.startGoroutine(s.watchLoop)
 	s.startGoroutine(s.evidenceLoop)
-	if s.gossip != nil {
+	if s.gossip() != nil {
 		s.startGoroutine(s.incarnationLoop)
 	}
 	s.startTaskRunner()
@@ -172,6 +172,9 @@
 // startGoroutine runs f in a goroutine that close waits for.
 func (s *Server) startGoroutine(f func()) { s.goroutines.Go(f) }
 
+// gossip returns the gossip node, or nil if gossip is not configured or has not been started.
+func (s *Server) gossip() *gossip.Node { return s.gossipNode.Load() }
+
 // raft returns the raft instance, or nil while it has not been started.
 func (s *Server) raft() *raft.Raft { return s.raftNode.Load() }
 
@@ -210,8 +213,8 @@
 		s.drain()
 	}
 	// Not earlier, as until here this server gossips for the agents whose watches have migrated.
-	if s.gossip != nil {
-		s.gossip.Leave()
+	if s.gossip() != nil {
+		s.gossip().Leave()
 	}
 	s.close()
 	s.log.Info("ended")
@@ -232,8 +235,8 @@
 		s.transport.Close()
 	}
 	s.goroutines.Wait()
-	if s.gossip != nil {
-		s.gossip.Close()
+	if s.gossip() != nil {
+		s.gossip().Close()
 	}
 	if s.store != nil {
 		if err := s.store.Close(); err != nil {
--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -51,7 +51,7 @@
 		return set
 	}
 	upToDate := s.upToDateServers()
-	view := s.gossip.View()
+	view := s.gossip().View()
 	s.memberFailures.mu.Lock()
 	defer s.memberFailures.mu.Unlock()
 	for _, replica := range conf.Configuration().Servers {
@@ -93,7 +93,7 @@
 	if err := decodeBody(w, r, &b); err != nil {
 		return err
 	}
-	if s.gossip == nil || s.config.Voters == 0 {
+	if s.gossip() == nil || s.config.Voters == 0 {
 		writeJSON(w, struct{}{})
 		return nil
 	}
