--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -103,7 +103,7 @@
 	go func() {
 		for i, seed := range seeds {
 			group.Go(func() error {
-				results[i] <- options.play(ctx, out, seed)
+				results[i] <- options.runSeed(ctx, out, seed)
 				return nil
 			})
 		}
@@ -118,21 +118,21 @@
 		options.print(out, result)
 	}
 	fmt.Fprintf(out, "soak: %d held, %d broke, %d void, %d failed of %d seeds\n",
-		counts[soak.Held], counts[soak.Broke], counts[soak.Void], counts[soak.Failed], len(seeds))
-	if counts[soak.Broke]+counts[soak.Failed] > 0 || counts[soak.Held] == 0 || ctx.Err() != nil {
+		counts[soak.Passed], counts[soak.Broke], counts[soak.Void], counts[soak.Failed], len(seeds))
+	if counts[soak.Broke]+counts[soak.Failed] > 0 || counts[soak.Passed] == 0 || ctx.Err() != nil {
 		return errBroke
 	}
 	return nil
 }
 
-// play plays one seed, and shrinks it if it broke and that is asked for.
-func (o *soakOptions) play(ctx context.Context, out io.Writer, seed uint64) soak.Result {
+// runSeed runs one seed, and shrinks it if it broke and that is asked for.
+func (o *soakOptions) runSeed(ctx context.Context, out io.Writer, seed uint64) soak.Result {
 	if ctx.Err() != nil {
 		return soak.Result{Seed: seed, Verdict: soak.Failed, Reason: "interrupted"}
 	}
 	e := soak.Draw(seed, o.duration)
 	dir := filepath.Join(o.out, e.Name)
-	result := soak.Play(ctx, e, seed, o.agent, dir)
+	result := soak.Run(ctx, e, seed, o.agent, dir)
 	if o.shrink && result.Verdict == soak.Broke {
 		smaller := soak.Shrink(ctx, e, seed, o.agent, filepath.Join(dir, "shrunk"), shrinkRuns*o.duration)
 		fmt.Fprintf(out, "seed %d still broke with:\n%s", seed, smaller.Text())
@@ -142,14 +142,14 @@
 
 // print prints the result of one seed, with the command that plays it again.
 func (o *soakOptions) print(out io.Writer, result soak.Result) {
-	if o.quiet && result.Verdict == soak.Held {
+	if o.quiet && result.Verdict == soak.Passed {
 		return
 	}
 	fmt.Fprintf(out, "seed %d: %s", result.Seed, result.Verdict)
 	if result.Reason != "" {
 		fmt.Fprintf(out, ": %s", result.Reason)
 	}
-	if result.Verdict != soak.Held {
+	if result.Verdict != soak.Passed {
 		fmt.Fprintf(out, "\n  bin/lab soak --seeds %d --for %v; logs and timeline in %s", result.Seed, o.duration, result.Dir)
 	}
 	fmt.Fprintln(out)
--- a/internal/control/controltasks_test.go
+++ b/internal/control/controltasks_test.go
@@ -38,8 +38,8 @@
 	t.Fatalf("%s: %s: not reached; %s", name, what, last)
 }
 
-// isHeld reports whether a process holds a task.
-func isHeld(task *catalog.LeasedTask) bool { return task.Holder != "" }
+// hasHolder reports whether a process holds a task.
+func hasHolder(task *catalog.LeasedTask) bool { return task.Holder != "" }
 
 // TestControlTasksComeBackAfterDeaths holds that each of the control plane's own tasks which an
 // earlier build has suspended for its holders' deaths is held again, and that an operator's
@@ -49,10 +49,10 @@
 	s, addr := startSingleServer(t)
 	for _, name := range controlTasks {
 		for range deaths {
-			waitForTask(t, s, name, "held", isHeld)
+			waitForTask(t, s, name, "held", hasHolder)
 			expireAsDeath(t, s, name)
 		}
-		waitForTask(t, s, name, "held after the deaths", isHeld)
+		waitForTask(t, s, name, "held after the deaths", hasHolder)
 	}
 	client := NewClient([]string{addr}, 5*time.Second)
 	const reason = "until tomorrow"
--- a/internal/control/leaderproof_test.go
+++ b/internal/control/leaderproof_test.go
@@ -10,58 +10,58 @@
 	"github.com/hashicorp/raft"
 )
 
-// heldTransport is a raft transport on which responses to appends can be held back, and later appends
+// delayedTransport is a raft transport on which responses to appends can be held back, and later appends
 // fail.
-type heldTransport struct {
+type delayedTransport struct {
 	networkTransport
 	mu       sync.Mutex
-	holding  bool
+	delaying bool
 	cut      bool
-	held     chan struct{} // receives a value for each response that is held back
+	delayed  chan struct{} // receives a value for each response that is held back
 	released chan struct{} // closed to release them
 }
 
 // AppendEntries implements raft.Transport.
-func (t *heldTransport) AppendEntries(id raft.ServerID, target raft.ServerAddress, args *raft.AppendEntriesRequest, resp *raft.AppendEntriesResponse) error {
+func (t *delayedTransport) AppendEntries(id raft.ServerID, target raft.ServerAddress, args *raft.AppendEntriesRequest, resp *raft.AppendEntriesResponse) error {
 	t.mu.Lock()
-	holding, cut := t.holding, t.cut
+	delaying, cut := t.delaying, t.cut
 	t.mu.Unlock()
 	if cut {
 		return errors.New("cut off")
 	}
 	err := t.networkTransport.AppendEntries(id, target, args, resp)
-	if holding {
-		t.held <- struct{}{}
+	if delaying {
+		t.delayed <- struct{}{}
 		<-t.released
 	}
 	return err
 }
 
 // AppendEntriesPipeline implements raft.Transport. There is none, so that all appends are held.
-func (t *heldTransport) AppendEntriesPipeline(raft.ServerID, raft.ServerAddress) (raft.AppendPipeline, error) {
+func (t *delayedTransport) AppendEntriesPipeline(raft.ServerID, raft.ServerAddress) (raft.AppendPipeline, error) {
 	return nil, raft.ErrPipelineReplicationNotSupported
 }
 
 // set changes what happens to appends from now on.
-func (t *heldTransport) set(holding, cut bool) {
+func (t *delayedTransport) set(delaying, cut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.holding, t.cut = holding, cut
+	t.delaying, t.cut = delaying, cut
 }
 
-// heldCluster is three raft instances whose transports can be held.
-type heldCluster struct {
+// delayedCluster is three raft instances whose transports can be held.
+type delayedCluster struct {
 	names      []string
 	instances  map[string]*raft.Raft
-	transports map[string]*heldTransport
+	transports map[string]*delayedTransport
 	confirmed  map[string]*confirmedAppends
 }
 
-// newHeldCluster starts the instances.
-func newHeldCluster(t *testing.T) *heldCluster {
+// newDelayedCluster starts the instances.
+func newDelayedCluster(t *testing.T) *delayedCluster {
 	t.Helper()
-	cluster := &heldCluster{names: []string{"a", "b", "c"}, instances: map[string]*raft.Raft{},
-		transports: map[string]*heldTransport{}, confirmed: map[string]*confirmedAppends{}}
+	cluster := &delayedCluster{names: []string{"a", "b", "c"}, instances: map[string]*raft.Raft{},
+		transports: map[string]*delayedTransport{}, confirmed: map[string]*confirmedAppends{}}
 	inner := map[string]*raft.InmemTransport{}
 	var configuration raft.Configuration
 	for _, name := range cluster.names {
@@ -73,7 +73,7 @@
 		configuration.Servers = append(configuration.Servers, raft.Server{ID: raft.ServerID(name), Address: raft.ServerAddress(name)})
 	}
 	for _, name := range cluster.names {
-		cluster.transports[name] = &heldTransport{networkTransport: inner[name], held: make(chan struct{}, 100), released: make(chan struct{})}
+		cluster.transports[name] = &delayedTransport{networkTransport: inner[name], delayed: make(chan struct{}, 100), released: make(chan struct{})}
 		cluster.confirmed[name] = newConfirmedAppends()
 		cluster.start(t, name, configuration)
 	}
@@ -81,7 +81,7 @@
 }
 
 // start starts one instance.
-func (cluster *heldCluster) start(t *testing.T, name string, configuration raft.Configuration) {
+func (cluster *delayedCluster) start(t *testing.T, name string, configuration raft.Configuration) {
 	t.Helper()
 	c := raft.DefaultConfig()
 	c.LocalID, c.LogOutput = raft.ServerID(name), io.Discard
@@ -100,7 +100,7 @@
 }
 
 // leader waits until an instance leads, and returns its name.
-func (cluster *heldCluster) leader(t *testing.T) string {
+func (cluster *delayedCluster) leader(t *testing.T) string {
 	t.Helper()
 	for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		for _, name := range cluster.names {
@@ -114,15 +114,15 @@
 }
 
 // prove has an instance prove its leadership.
-func (cluster *heldCluster) prove(name string) (term uint64, err error) {
+func (cluster *delayedCluster) prove(name string) (term uint64, err error) {
 	return proveLeadership(cluster.instances[name], name, cluster.names, cluster.confirmed[name], applyTimeout)
 }
 
-// TestHeldResponsesDoNotProveLeadership holds back the responses of all followers over the beginning of
+// TestDelayedResponsesDoNotProveLeadership holds back the responses of all followers over the beginning of
 // a check, as a suspension of the leader's process does. They were given before the check, so they prove
 // nothing about the time after it.
-func TestHeldResponsesDoNotProveLeadership(t *testing.T) {
-	cluster := newHeldCluster(t)
+func TestDelayedResponsesDoNotProveLeadership(t *testing.T) {
+	cluster := newDelayedCluster(t)
 	leader := cluster.leader(t)
 	r, transport := cluster.instances[leader], cluster.transports[leader]
 	if term, err := cluster.prove(leader); err != nil || term != r.CurrentTerm() {
@@ -130,7 +130,7 @@
 	}
 	transport.set(true, false)
 	for range len(cluster.names) - 1 { // one heartbeat of each follower
-		<-transport.held
+		<-transport.delayed
 	}
 	transport.set(false, true) // all that is sent from now on fails
 	libraryCheck := r.VerifyLeader()
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -177,7 +177,7 @@
 			return fl.pauseProcess(ctx, f, agent.process)
 		case faultReload:
 			return fl.reloadAgent(agent)
-		case faultSignals, faultCrowd, faultPipeline, faultNoFiles:
+		case faultSignals, faultFlood, faultPipeline, faultNoFiles:
 			return fl.faultAgentIrregularly(ctx, f, agent, rand.New(rand.NewPCG(fl.seed, uint64(draws[target]*float64(1<<53)))))
 		}
 		return fl.restartAgent(ctx, agent, draws[target])
@@ -189,8 +189,8 @@
 	switch f.Kind {
 	case faultSignals:
 		return fl.signalAgent(ctx, f, agent, rng)
-	case faultCrowd:
-		return fl.crowdAgent(ctx, f, agent)
+	case faultFlood:
+		return fl.floodAgent(ctx, f, agent)
 	case faultPipeline:
 		return fl.pipelineRequests(ctx, f, agent, rng)
 	}
--- a/internal/lab/experiment/irregular.go
+++ b/internal/lab/experiment/irregular.go
@@ -37,10 +37,10 @@
 	// an agent has when it is terminated.
 	irregularConnections = 3
 	pipelineDepth        = 6
-	// crowdSettleTime is how long after a crowd has left its descriptors may still be open, and
-	// crowdDescriptorSlack by how many more there may be than before.
-	crowdSettleTime      = 6 * time.Second
-	crowdDescriptorSlack = 64
+	// floodSettleTime is how long after a flood of connections has ended its descriptors may still be open, and
+	// floodDescriptorSlack by how many more there may be than before.
+	floodSettleTime      = 6 * time.Second
+	floodDescriptorSlack = 64
 )
 
 // signalAgent sends a series of signals to an agent at the fault's interval. Its clients go on using
@@ -150,9 +150,9 @@
 	}
 }
 
-// crowdAgent opens f.Size connections to an agent and keeps them idle while the fault lasts; f.Share
+// floodAgent opens f.Size connections to an agent and keeps them idle while the fault lasts; f.Share
 // of them have sent a part of a request. The agent's descriptors must be released after that.
-func (fl *fleet) crowdAgent(ctx context.Context, f *Fault, agent *agentProcess) error {
+func (fl *fleet) floodAgent(ctx context.Context, f *Fault, agent *agentProcess) error {
 	before, _, _ := agent.process.SampleUsage()
 	partial := int(f.Size * f.Share)
 	done := make(chan struct{})
@@ -165,12 +165,12 @@
 	close(done)
 	running.Wait()
 	runs := agent.process.StartCount()
-	if !sleep(ctx, crowdSettleTime) || agent.process.StartCount() != runs || !agent.process.Runs() {
+	if !sleep(ctx, floodSettleTime) || agent.process.StartCount() != runs || !agent.process.Runs() {
 		return nil
 	}
-	if after, _, _ := agent.process.SampleUsage(); after.Descriptors > before.Descriptors+crowdDescriptorSlack {
-		fl.checker.ReportBreach(check.RuleLimit, agent.index, fmt.Sprintf("%d descriptors %v after a crowd has left, %d before it came",
-			after.Descriptors, crowdSettleTime, before.Descriptors))
+	if after, _, _ := agent.process.SampleUsage(); after.Descriptors > before.Descriptors+floodDescriptorSlack {
+		fl.checker.ReportBreach(check.RuleLimit, agent.index, fmt.Sprintf("%d descriptors %v after a flood of connections has ended, %d before it came",
+			after.Descriptors, floodSettleTime, before.Descriptors))
 	}
 	return nil
 }
--- a/internal/lab/experiment/kinds.go
+++ b/internal/lab/experiment/kinds.go
@@ -20,7 +20,7 @@
 	faultRestart   = "restart"     // restarts processes gracefully, one after the other
 	faultReload    = "hup"         // has agents reload a configuration with another discovery
 	faultSignals   = "signals"     // sends agents a series of signals
-	faultCrowd     = "crowd"       // connections that idle, or stop within a request
+	faultFlood     = "flood"       // connections that idle, or stop within a request
 	faultPipeline  = "pipeline"    // a client sends many requests at once on a connection
 	faultNoFiles   = "descriptors" // agents can open no further descriptor
 	faultIsolate   = "vanish"      // a server no longer answers, and its connections stay open
@@ -47,7 +47,7 @@
 var faultKinds = map[string][]string{
 	targetServers: {faultKill, faultIsolate, faultDrain, faultSlow, faultNeighbour, faultErrors, faultResets, faultLost, faultTruncated,
 		faultReplace, faultMute},
-	targetAgents:       {faultKill, faultStop, faultRestart, faultReload, faultSignals, faultCrowd, faultPipeline, faultNoFiles},
+	targetAgents:       {faultKill, faultStop, faultRestart, faultReload, faultSignals, faultFlood, faultPipeline, faultNoFiles},
 	targetControlPlane: {faultKill, faultStop, faultRestart},
 	targetWorkers:      {faultKill, faultStop, faultRestart},
 	targetDiscovery:    {faultDown},
@@ -57,7 +57,7 @@
 
 // sizedFaultKinds are the kinds of faults, other than of links, that need a size.
 var sizedFaultKinds = map[string]bool{faultSlow: true, faultNeighbour: true, faultErrors: true, faultResets: true, faultLost: true,
-	faultTruncated: true, faultBurst: true, faultHeavy: true, faultCrowd: true, faultPipeline: true}
+	faultTruncated: true, faultBurst: true, faultHeavy: true, faultFlood: true, faultPipeline: true}
 
 // sizedLinkFaultKinds are the kinds of faults of links that need a size.
 var sizedLinkFaultKinds = map[string]bool{faultSlow: true, faultReset: true, faultLoss: true}
--- a/internal/lab/experiment/validate.go
+++ b/internal/lab/experiment/validate.go
@@ -252,7 +252,7 @@
 		return configfile.NewKeyError(at+"target", "with stewards the stand-in is not there")
 	case (f.Kind == faultSignals) != (len(f.Signals) > 0) || slices.ContainsFunc(f.Signals, func(name string) bool { return !slices.Contains(signalNames, name) }):
 		return configfile.NewKeyError(at+"signals", "a series of %s, for the kind %s only", strings.Join(signalNames, ", "), faultSignals)
-	case (f.Kind == faultCrowd || f.Kind == faultPipeline || f.Kind == faultNoFiles) && f.Duration == 0:
+	case (f.Kind == faultFlood || f.Kind == faultPipeline || f.Kind == faultNoFiles) && f.Duration == 0:
 		return configfile.NewKeyError(at+"for", "missing")
 	case f.Kind == faultPipeline && f.Interval == 0:
 		return configfile.NewKeyError(at+"every", "missing")
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -153,7 +153,7 @@
 		case 0:
 			d.add("stop", target, at, key("for", d.millis(100, 900)))
 		case 1:
-			d.add("crowd", target, at, key("for", d.millis(1000, 4000)), fmt.Sprintf("size = %d.0\nshare = %.1f", 50+d.rng.IntN(500), d.rng.Float64()))
+			d.add("flood", target, at, key("for", d.millis(1000, 4000)), fmt.Sprintf("size = %d.0\nshare = %.1f", 50+d.rng.IntN(500), d.rng.Float64()))
 		case 2:
 			d.add("pipeline", target, at, key("for", d.millis(500, 3000)), key("every", d.millis(200, 800)), fmt.Sprintf("size = %d.0", 2+d.rng.IntN(80)))
 		case 3:
--- a/internal/lab/soak/play.go
+++ b/internal/lab/soak/run.go
@@ -16,7 +16,7 @@
 
 // The verdicts.
 const (
-	Held   Verdict = "held"
+	Passed Verdict = "held"
 	Broke  Verdict = "broke"
 	Void   Verdict = "void"   // the machine was too busy to judge
 	Failed Verdict = "failed" // the run could not be made
@@ -30,9 +30,9 @@
 	Dir     string // of the experiment's file, logs and report
 }
 
-// Play plays an experiment with a seed and an agent's program, and writes its file and its results into a
+// Run runs an experiment with a seed and an agent's program, and writes its file and its results into a
 // folder.
-func Play(ctx context.Context, e *Experiment, seed uint64, agent, dir string) Result {
+func Run(ctx context.Context, e *Experiment, seed uint64, agent, dir string) Result {
 	result := Result{Seed: seed, Verdict: Failed, Dir: dir}
 	config, err := experiment.Parse([]byte(e.Text()))
 	if err == nil {
@@ -67,7 +67,7 @@
 		return Void, fmt.Sprintf("the lab sent requests %.1f ms late at p99", lab.LatenessP99Ms)
 	}
 	if summary.Passed {
-		return Held, ""
+		return Passed, ""
 	}
 	reason = summary.Violations[0]
 	if examples := summary.Fleets[0].Examples; len(examples) > 0 {
@@ -84,7 +84,7 @@
 	defer cancel()
 	for i := 0; i < len(e.Faults) && ctx.Err() == nil; {
 		smaller := e.Without(i)
-		if result := Play(ctx, smaller, seed, agent, filepath.Join(dir, fmt.Sprintf("without-%s", e.Faults[i].Name))); result.Verdict == Broke {
+		if result := Run(ctx, smaller, seed, agent, filepath.Join(dir, fmt.Sprintf("without-%s", e.Faults[i].Name))); result.Verdict == Broke {
 			e = smaller
 			continue
 		}
--- a/internal/lab/soak/play_test.go
+++ b/internal/lab/soak/run_test.go
@@ -17,7 +17,7 @@
 		want    Verdict
 		reason  string
 	}{
-		{experiment.Summary{Passed: true}, Held, ""},
+		{experiment.Summary{Passed: true}, Passed, ""},
 		{experiment.Summary{Violations: []string{"rule lost request, 1 against 0"}, Fleets: broken}, Broke,
 			"rule lost request, 1 against 0; first at 4.500 s: n1  a1-7: no answer"},
 		{experiment.Summary{Violations: []string{"fault x could not be injected"}, Fleets: make([]experiment.FleetSummary, 1)}, Broke, "fault x could not be injected"},
