Test transfers and deaths of holders in a quorum of two builds

TestMixedQuorumTransfers runs servers of two builds, with leaders of both: transfers are accepted and declined, holders die until their task is suspended and resumed, and each server is killed and started again as the other build. The states of all servers are equal after each part, byte for byte.

--- /dev/null
+++ b/cmd/controlplane/mixedtransfers_test.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"knotrouter/internal/catalog"
+	"knotrouter/internal/control"
+)
+
+const (
+	// transferTask is transferred between two processes, whose sessions are renewed.
+	transferTask = "job.transferred"
+	// crashTask kills its holders: their sessions are not renewed after the grant.
+	crashTask = "crash.holders"
+	// mixedRenewInterval is the interval of the renewals of the sessions that stay.
+	mixedRenewInterval = 200 * time.Millisecond
+)
+
+// sessionID returns the ID of the session of a process that stays.
+func sessionID(process string) string { return process + "-session" }
+
+// renewSessions renews the sessions of processes until the test ends.
+func (m *mixedCluster) renewSessions(processes ...string) {
+	for _, process := range processes {
+		go func() {
+			client := m.client(m.names...)
+			for ctx := m.t.Context(); ctx.Err() == nil; time.Sleep(mixedRenewInterval) {
+				_, _ = client.RenewSession(ctx, process, sessionID(process), 0)
+			}
+		}()
+	}
+}
+
+// waitForTask waits until a task is in a state, through the servers named, and returns it.
+func (m *mixedCluster) waitForTask(name, what string, reached func(task *catalog.LeasedTask) bool) (task catalog.LeasedTask) {
+	m.t.Helper()
+	m.waitUntil(name+" "+what, func() bool {
+		ctx, cancel := context.WithTimeout(m.t.Context(), readTimeout)
+		defer cancel()
+		var err error
+		task, err = m.client(m.names...).Task(ctx, name)
+		return err == nil && reached(&task)
+	})
+	return task
+}
+
+// transfer has the task go from its holder to the other of two processes, which accepts.
+func (m *mixedCluster) transfer(through string) {
+	m.t.Helper()
+	task := m.waitForTask(transferTask, "is held", func(task *catalog.LeasedTask) bool { return task.Holder != "" && task.Successor == "" })
+	successor := map[string]string{"w-1": "w-2", "w-2": "w-1"}[task.Holder]
+	m.retryThrough(through, "transfer", func(ctx context.Context, c *control.Client) error {
+		return c.CommandTask(ctx, transferTask, control.CommandMove, successor, "")
+	})
+	m.retryThrough(through, "acceptance", func(ctx context.Context, c *control.Client) error {
+		ref := catalog.TermRef{Name: transferTask, Process: successor, Session: sessionID(successor)}
+		return c.ReportTerms(ctx, catalog.AcceptTransfer, []catalog.TermRef{ref}, "")
+	})
+	m.retryThrough(through, "release", func(ctx context.Context, c *control.Client) error {
+		ref := catalog.TermRef{Name: transferTask, Process: task.Holder, Session: task.Session, Fence: task.Fence}
+		return c.ReportTerms(ctx, catalog.ReleaseTerm, []catalog.TermRef{ref}, catalog.ReasonTransferred)
+	})
+	m.waitForTask(transferTask, "is held by "+successor, func(now *catalog.LeasedTask) bool {
+		return now.Holder == successor && now.Fence > task.Fence
+	})
+}
+
+// declineTransfer names a successor that never accepts, and waits until the leader cancels that.
+func (m *mixedCluster) declineTransfer(through string) {
+	m.t.Helper()
+	task := m.waitForTask(transferTask, "is held", func(task *catalog.LeasedTask) bool { return task.Holder != "" && task.Successor == "" })
+	successor := map[string]string{"w-1": "w-2", "w-2": "w-1"}[task.Holder]
+	m.retryThrough(through, "transfer", func(ctx context.Context, c *control.Client) error {
+		return c.CommandTask(ctx, transferTask, control.CommandMove, successor, "")
+	})
+	m.waitForTask(transferTask, "has no successor again", func(now *catalog.LeasedTask) bool {
+		return now.Successor == "" && now.Holder == task.Holder && now.Fence == task.Fence
+	})
+}
+
+// killHolders has three holders of a task die soon after the grant, and waits until it is suspended. Then
+// an operator resumes it.
+func (m *mixedCluster) killHolders(phase, through string) {
+	m.t.Helper()
+	for death := 0; ; death++ {
+		process := fmt.Sprintf("%s-dies-%d", phase, death)
+		m.retryThrough(through, "session of "+process, func(ctx context.Context, c *control.Client) error {
+			return c.OpenSession(ctx, catalog.Session{Process: process, ID: process, TaskKinds: []string{"crash"}, MaxTasks: 1})
+		})
+		task := m.waitForTask(crashTask, "is held or suspended", func(task *catalog.LeasedTask) bool {
+			return task.Holder != "" || task.SuspendReason != ""
+		})
+		if task.SuspendReason == "" {
+			task = m.waitForTask(crashTask, "is free again", func(task *catalog.LeasedTask) bool { return task.Holder == "" })
+		}
+		if task.SuspendReason != "" {
+			break
+		}
+	}
+	m.retryThrough(through, "resumption", func(ctx context.Context, c *control.Client) error {
+		return c.CommandTask(ctx, crashTask, control.CommandUnpark, "", "")
+	})
+}
+
+// TestMixedQuorumTransfers runs servers of two builds in one quorum, with leaders of both: tasks are
+// transferred and the transfers are accepted or not, and holders die until their task is suspended. Each
+// server is killed and started again as the other build. The states of all servers are equal after each
+// part, byte for byte.
+func TestMixedQuorumTransfers(t *testing.T) {
+	old, present := builds(t)
+	cluster := newUnstartedCluster(t, 3)
+	m := &mixedCluster{testCluster: cluster, builds: map[string]build{"st-1": old, "st-2": old, "st-3": present}, acknowledged: map[string]float64{}}
+	for _, name := range cluster.names {
+		cluster.configure(name, cluster.names)
+		proc := cluster.servers[name].proc
+		proc.Path, proc.Env = m.builds[name].path, m.builds[name].env
+		cluster.start(name)
+	}
+	for _, process := range []string{"w-1", "w-2"} {
+		m.retryThrough("st-3", "session of "+process, func(ctx context.Context, c *control.Client) error {
+			return c.OpenSession(ctx, catalog.Session{Process: process, ID: sessionID(process), TaskKinds: []string{"job"}, MaxTasks: 1})
+		})
+	}
+	m.renewSessions("w-1", "w-2")
+	for task, ttl := range map[string]time.Duration{transferTask: mixedTTL, crashTask: catalog.MinTTL} {
+		m.retryThrough("st-3", "definition of "+task, func(ctx context.Context, c *control.Client) error {
+			return c.DefineTask(ctx, task, control.TaskDefinition{TTLMs: ttl.Milliseconds()})
+		})
+	}
+	for phase, swapped := range []map[string]build{{}, {"st-1": present, "st-2": present, "st-3": old}} {
+		for _, name := range slices.Sorted(maps.Keys(swapped)) {
+			cluster.kill(name)
+			m.builds[name] = swapped[name]
+			cluster.startBuild(name, m.builds[name])
+		}
+		m.electOneOf("st-1", "st-2") // of the old build first, then of the present one
+		m.transfer("st-3")
+		m.transfer("st-1")
+		m.declineTransfer("st-2")
+		m.killHolders(fmt.Sprint("phase-", phase), "st-3")
+		m.waitForEqualStates()
+	}
+}
