Agent: name delays, idle clients and buffered bytes in the field's terms

Names only, in three test files and one local of readahead.go: heldUp, crowd and kept become delay, idleClients and buffered.

--- a/internal/agent/listener_test.go
+++ b/internal/agent/listener_test.go
@@ -46,7 +46,7 @@
 type failingListener struct {
 	*net.TCPListener
 	failures int
-	heldUp   time.Duration
+	delay    time.Duration
 }
 
 // Accept fails, or accepts a connection after the delay.
@@ -55,20 +55,20 @@
 		l.failures--
 		return nil, syscall.ENFILE
 	}
-	time.Sleep(l.heldUp)
+	time.Sleep(l.delay)
 	return l.TCPListener.Accept()
 }
 
 // startFailingListener returns a listener whose first ten accepts fail and whose next ones are held
 // up, and its address.
-func startFailingListener(t *testing.T, heldUp time.Duration) (l *listener, addr string) {
+func startFailingListener(t *testing.T, delay time.Duration) (l *listener, addr string) {
 	t.Helper()
 	socket, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = socket.Close() })
-	failing := &failingListener{TCPListener: socket, failures: 10, heldUp: heldUp}
+	failing := &failingListener{TCPListener: socket, failures: 10, delay: delay}
 	l = &listener{Listener: failing, clients: newClientConns(10), ctx: context.Background(), log: slog.New(slog.DiscardHandler)}
 	return l, socket.Addr().String()
 }
@@ -100,17 +100,17 @@
 // the time of the failures.
 func TestArrivalWhileAcceptsFail(t *testing.T) {
 	const slack = 5 * time.Millisecond
-	for _, heldUp := range []time.Duration{0, minBlockingWait, 50 * time.Millisecond} {
-		l, addr := startFailingListener(t, heldUp)
+	for _, delay := range []time.Duration{0, minBlockingWait, 50 * time.Millisecond} {
+		l, addr := startFailingListener(t, delay)
 		arrivedAt := dial(t, addr)
 		if late := acceptedArrival(t, l).Sub(arrivedAt); late > slack {
-			t.Errorf("held up %v: the connection counts from %v after its arrival", heldUp, late)
+			t.Errorf("held up %v: the connection counts from %v after its arrival", delay, late)
 		}
 		nextArrivedAt := make(chan time.Time, 1)
 		time.AfterFunc(20*time.Millisecond, func() { nextArrivedAt <- dial(t, addr) })
 		countsFrom := acceptedArrival(t, l)
 		if early := (<-nextArrivedAt).Sub(countsFrom); early > slack {
-			t.Errorf("held up %v: the next connection counts from %v before its arrival", heldUp, early)
+			t.Errorf("held up %v: the next connection counts from %v before its arrival", delay, early)
 		}
 	}
 }
--- a/internal/agent/misbehavingclient_test.go
+++ b/internal/agent/misbehavingclient_test.go
@@ -288,14 +288,14 @@
 }
 
 // A request behind a crowd of connections, most of which have stopped within a head, is answered in time,
-// although the crowd is many times as large as what the agent can hold.
+// although there are many times as many as the agent can hold.
 func TestRequestBehindACrowd(t *testing.T) {
-	const sockets, crowd, partialOf10, timeout = 160, 416, 9, 2500 * time.Millisecond
+	const sockets, idleClients, partialOf10, timeout = 160, 416, 9, 2500 * time.Millisecond
 	addr, _ := countingBackend(t, http.StatusOK, false)
 	config := testConfig(unreachableAddr, addr)
 	config["limits"].(map[string]any)["sockets"] = sockets
 	_, base, _, _ := startAgent(t, config)
-	for i := range crowd {
+	for i := range idleClients {
 		c, _ := dialAgent(t, base)
 		if i%10 < partialOf10 {
 			io.WriteString(c, "GET /look/u1 HTTP/1.1\r\nHost: ")
--- a/internal/agent/pipelining_test.go
+++ b/internal/agent/pipelining_test.go
@@ -284,11 +284,11 @@
 	near, _ := connPair(t)
 	client := a.clients.admit(near, nil)
 	a.clients.mu.Lock()
-	kept := client.keepReadAhead(make([]byte, 1000))
+	buffered := client.keepReadAhead(make([]byte, 1000))
 	over := client.keepReadAhead(make([]byte, 1))
 	left := a.clients.readAheadBytes
 	a.clients.mu.Unlock()
-	if !kept || over || left != maxReadAheadTotal-1000 || client.sealReadAhead() {
-		t.Errorf("kept %v, then %v, %d bytes counted", kept, over, left)
+	if !buffered || over || left != maxReadAheadTotal-1000 || client.sealReadAhead() {
+		t.Errorf("buffered %v, then %v, %d bytes counted", buffered, over, left)
 	}
 }
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -110,7 +110,7 @@
 	for discarded := 0; ; {
 		n, err := c.Conn.Read(buf)
 		c.owner.mu.Lock()
-		kept := c.keepReadAhead(buf[:n])
+		buffered := c.keepReadAhead(buf[:n])
 		sealed := c.readAhead.sealed
 		if err != nil && !os.IsTimeout(err) {
 			c.peerEnded, c.readAhead.err = true, err
@@ -120,7 +120,7 @@
 		if err != nil || sealed {
 			return
 		}
-		if kept {
+		if buffered {
 			continue
 		}
 		if discarded += n; discarded >= discardedPerPause {
