Lab: an answer that no request asked for is a breach, on idle connections too

Seen: an agent that sends a second answer some milliseconds late was not found out. The lab's client took that answer for the one to its next request, and only a status of 200 with another body broke a rule; of pipelined requests, a surplus answer shifted all later ones and the last real one stayed unread. Cause: as in the agent, answers are matched to requests by order alone, and the pool looked at nothing before it used a connection again. Change: the pool looks for bytes on an idle connection before it takes it, drops the connection and records the breach; a pipeline records bytes behind its last answer. Not seen still: bytes after a connection's last use. The breach names the request that found the bytes.

--- a/internal/lab/check/answer.go
+++ b/internal/lab/check/answer.go
@@ -42,6 +42,7 @@
 	Partial       bool // some bytes of an answer came
 	NewConnection bool // the request was the first on its connection
 	Surplus       bool // more bytes came after the answer
+	SurplusBefore bool // bytes that no request asked for had come on an idle connection before the request was sent
 }
 
 // RecordAnswer records how a request ended for its client, and checks that it was answered once,
@@ -58,6 +59,9 @@
 	genuine := c.isGenuine(r, answer.Body)
 	r.mu.Unlock()
 
+	if answer.SurplusBefore {
+		c.recordRequestBreach(RuleLost, r, none, "more than one answer to a request before this one")
+	}
 	outcome := c.checkAnswered(r, answer, attempts, genuine)
 	if outcome != answer.Outcome {
 		return outcome
--- a/internal/lab/client/call.go
+++ b/internal/lab/client/call.go
@@ -64,7 +64,9 @@
 	result, stale := p.attempt(c, false)
 	if stale {
 		if received, _ := c.request.Attempts(); received == 0 {
+			surplusBefore := result.SurplusBefore
 			result, _ = p.attempt(c, true)
+			result.SurplusBefore = surplusBefore
 		}
 	}
 	return result
@@ -74,7 +76,8 @@
 // idle, before an answer began.
 func (p *Pool) attempt(c *call, forceNew bool) (result response, stale bool) {
 	result.Outcome = check.Unreachable
-	conn, err := p.get(c.addr, c.deadline, c.connectTimeout, forceNew)
+	conn, surplus, err := p.get(c.addr, c.deadline, c.connectTimeout, forceNew)
+	result.SurplusBefore = surplus
 	if err != nil {
 		result.At = c.clock()
 		if errors.Is(err, errNoOpenConnection) {
--- a/internal/lab/client/pipeline.go
+++ b/internal/lab/client/pipeline.go
@@ -99,6 +99,7 @@
 		if state == streamOpen {
 			state = readIrregularAnswer(r, &answer)
 		}
+		answer.Surplus = i == len(requests)-1 && r.Buffered() > 0
 		answer.At = c.env.Clock()
 		answer.Closed = answer.Outcome == check.Unanswered && state == streamEnded
 		if received, _ := request.Attempts(); received == 0 && answer.Closed {
--- a/internal/lab/client/pool.go
+++ b/internal/lab/client/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"knotrouter/internal/lab/loopback"
@@ -56,15 +57,40 @@
 }
 
 // get returns an idle connection, or a new one if there is none or forceNew is set. It fails if a
-// new one can't be opened by the deadline and within connectTimeout, or may not be opened.
-func (p *Pool) get(addr string, deadline time.Time, connectTimeout time.Duration, forceNew bool) (*pooledConn, error) {
+// new one can't be opened by the deadline and within connectTimeout, or may not be opened. surplus
+// says that it closed an idle connection on which bytes had come that no request asked for.
+func (p *Pool) get(addr string, deadline time.Time, connectTimeout time.Duration, forceNew bool) (conn *pooledConn, surplus bool, err error) {
+	for !forceNew {
+		idle := p.takeIdle()
+		if idle == nil {
+			break
+		}
+		if !idle.hasBytes() {
+			return idle, surplus, nil
+		}
+		surplus = true
+		p.drop(idle)
+	}
+	conn, err = p.open(addr, deadline, connectTimeout)
+	return conn, surplus, err
+}
+
+// takeIdle takes the idle connection that was used last, or returns nil if there is none.
+func (p *Pool) takeIdle() *pooledConn {
 	p.mu.Lock()
-	if n := len(p.idle); n > 0 && !forceNew {
-		conn := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		return conn, nil
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
 	}
+	conn := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return conn
+}
+
+// open opens a connection, with the errors of get.
+func (p *Pool) open(addr string, deadline time.Time, connectTimeout time.Duration) (*pooledConn, error) {
+	p.mu.Lock()
 	if p.openOnly {
 		p.mu.Unlock()
 		return nil, errNoOpenConnection
@@ -79,6 +105,24 @@
 	return &pooledConn{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
+// hasBytes reports whether bytes have come on an idle connection. An end of the stream is none.
+func (c *pooledConn) hasBytes() bool {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	received := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		received, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && received > 0
+}
+
 // put makes a connection idle, or closes it if maxIdleConnections are idle already.
 func (p *Pool) put(conn *pooledConn) {
 	p.mu.Lock()
