Use a connection again only after a delay, and once after unsolicited bytes

Seen (TestLateSecondAnswerIsNotServed, the known failure): a server sends a second answer to a request 1 to 8 ms after the first; the next request on its connection was answered with it, status 200 and someone else's data. Its own answer went to the one after it, and so on. A second answer of 503 with Not-Started had a request that must not be repeated executed two or three times; health checks and requests got each other's second answers.

HTTP/1.1 has no sign that tells the two apart. Two more orders led there although the bytes had come before the request: unread in the kernel, and read but not yet scanned.

Change: - The balancer says how long after an answer a connection may be used again (10 ms, 20 ms for a server of which fewer than 8 good answers are known), and after bytes that nobody asked for that each connection to the server carries one request for 10 s, health checks too (policy/connections.go, a new event). Its idle connections are closed. - The agent chooses the connection, not net/http: each has a slot with a host name of its own there. The one used last of those idle for 20 ms, else the longest idle one after what is left of the delay; a new one only where none is idle. - Before a request's first byte the socket is read without waiting: what is unread was not asked for. Reading and scanning are one step, before or after beginResponse. - An attempt whose used connection failed before its first byte goes on elsewhere; it ended as a failed connect, which ejected the server.

The test's attempts have the balancer's delay; where tests drive attempts past the balancer they name it.

--- a/internal/agent/actions.go
+++ b/internal/agent/actions.go
@@ -35,7 +35,7 @@
 				l.removeIfDone(r)
 			}
 		case policy.ActProbe:
-			l.startProbe(action.Server)
+			l.startProbe(action)
 		case policy.ActTimer:
 			token := action.Token
 			time.AfterFunc(milliseconds(action.Ms), func() { l.post(event{kind: eventTimer, token: token}) })
@@ -70,6 +70,7 @@
 	if action.SendByMs > 0 {
 		a.sendBy = a.started.Add(milliseconds(action.SendByMs))
 	}
+	a.reuseDelay, a.singleUse = milliseconds(action.ReuseDelayMs), action.SingleUse
 	a.index = len(r.attempts)
 	r.attempts = append(r.attempts, a)
 	r.openAttempts++
@@ -99,7 +100,8 @@
 
 // startProbe sends a health check to a server. Each health check yields exactly one result, which
 // the balancer waits for.
-func (l *loop) startProbe(addr policy.Addr) {
+func (l *loop) startProbe(action *policy.Action) {
+	addr := action.Server
 	b := l.backends[addr]
 	if b == nil || !b.usable {
 		if b == nil {
@@ -116,6 +118,7 @@
 	}
 	// A health check bypasses the server's queue: without a response within two connect timeouts it has failed.
 	a := l.newAttempt(&request{method: http.MethodGet, url: &url.URL{Path: path}}, b, 2*l.dialer.connectTimeout)
+	a.reuseDelay, a.singleUse = milliseconds(action.ReuseDelayMs), action.SingleUse
 	b.attempts[a] = struct{}{}
 	go func() { l.post(event{kind: eventProbeResult, attempt: a, result: a.run()}) }()
 }
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -21,6 +21,7 @@
 var (
 	errAttemptWithdrawn      = errors.New("attempt withdrawn before its first byte")
 	errNoSockets             = errors.New("no socket left for a new connection")
+	errNotReusableYet        = errors.New("the time ended before a connection could be used again")
 	errAttemptCanceled       = errors.New("attempt cancelled")
 	errTrailingBytes         = errors.New("answer: bytes behind its end, or an end in doubt")
 	errBackendDrained        = errors.New("backend drains or is gone")
@@ -30,7 +31,7 @@
 	errUnboundedBody         = errors.New("a body that ends with the connection was not waited for")
 )
 
-// maxConnRetries bounds how often an attempt whose connection gave way to a dial chooses another one.
+// maxConnRetries bounds how often an attempt whose connection can't be used any more chooses another one.
 const maxConnRetries = 3
 
 // attemptKey is the context key of the attempt that a dial serves.
@@ -52,15 +53,19 @@
 	started time.Time
 	sendBy  time.Time // the latest time for its last byte; zero: no limit
 
-	transport *http.Transport // the backend's when the attempt began, like dialAddr
-	dialAddr  string
+	transport  *backendTransport // the backend's when the attempt began, like dialAddr
+	dialAddr   string
+	reuseDelay time.Duration // from the last response on its connection until it may use that
+	singleUse  bool          // its connection is new and carries no other attempt
+	slot       *connSlot     // of its connection, while it runs
+	waited     time.Duration // for the reuse delay of its connection
 
 	ctx          context.Context
 	cancel       context.CancelCauseFunc
 	stage        atomic.Int32
 	header       http.Header                 // of the outgoing request
 	conn         atomic.Pointer[backendConn] // the only one that it may be written to
-	connGaveWay  atomic.Bool                 // the last connection that the transport chose could not be used
+	connGaveWay  atomic.Bool                 // the last connection was used before and can't be used any more
 	writeFailed  atomic.Bool                 // a write failed: the request was not sent completely
 	bodyConsumed atomic.Bool                 // the transport has read the last byte of the body
 	// firstByte is the time in ns from the start until the first byte was allowed; 0: it was not.
@@ -85,7 +90,14 @@
 		a.withdraw()
 		return false
 	}
-	if !c.framing.beginResponse() || !a.stage.CompareAndSwap(attemptWaiting, attemptSending) {
+	if !c.beginResponse() {
+		a.abandonConn(c)
+		c.reportUnsolicited()
+		return false
+	}
+	// mayChooseAnotherConn, which may give up c at the same time, sees the stage or is seen here.
+	if !a.stage.CompareAndSwap(attemptWaiting, attemptSending) || a.conn.Load() != c {
+		c.framing.cancelResponse()
 		return false
 	}
 	a.firstByte.Store(max(int64(time.Since(a.started)), 1))
@@ -101,16 +113,15 @@
 	return a.stage.CompareAndSwap(attemptWaiting, attemptWithdrawn) || a.stage.Load() == attemptWithdrawn
 }
 
-// gotConn binds the attempt to the first connection that the transport chose for it and that has not
-// given way to a dial.
+// gotConn binds the attempt to the first connection that the transport chose for it and that it may use:
+// one that has not given way to a dial, and whose reuse delay is over.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	c, ok := info.Conn.(*backendConn)
 	if !ok {
 		return
 	}
-	if !c.dialer.idle.claim(c) {
-		c.attempt.Store(nil) // so that nothing is written in the name of the attempt before
-		a.connGaveWay.Store(true)
+	if !c.dialer.idle.claim(c) || a.singleUse && c.wasUsed() || c.reuseDelayLeft(time.Now(), a.reuseDelay) > 0 {
+		a.abandonConn(c)
 		return
 	}
 	if a.conn.CompareAndSwap(nil, c) {
@@ -119,6 +130,16 @@
 	}
 }
 
+// abandonConn gives up a connection on which the attempt has not written and must not write. Another one
+// may do if it was used before; one that was opened for the attempt shows what the backend does to it.
+func (a *attempt) abandonConn(c *backendConn) {
+	c.attempt.Store(nil) // so that nothing is written in the name of the attempt before
+	a.conn.CompareAndSwap(c, nil)
+	if c.wasUsed() {
+		a.connGaveWay.Store(true)
+	}
+}
+
 // deadline returns the end of the attempt's timeout.
 func (a *attempt) deadline() time.Time {
 	t, _ := a.ctx.Deadline()
@@ -128,7 +149,7 @@
 // result is the outcome of an attempt.
 type result struct {
 	status      policy.Status
-	latency     time.Duration
+	latency     time.Duration // without the wait for a reuse delay
 	body        []byte
 	contentType string // the response's Content-Type
 	loadReport  string // the response's load report
@@ -146,29 +167,78 @@
 			}
 		}).Stop()
 	}
-	res, err := a.roundTrip()
-	for retries := 0; err != nil && retries < maxConnRetries && a.mayChooseAnotherConn(); retries++ {
-		res, err = a.roundTrip()
-	}
+	res, err := a.send()
 	if err != nil {
 		res.status, res.err = a.failureStatus(err), err
-		res.local = res.status == policy.Full && transient.IsLocal(err)
-		if c := a.conn.Load(); c != nil {
-			c.Close()
-		}
+		res.local = res.status == policy.Full && (transient.IsLocal(err) || errors.Is(err, errNotReusableYet))
 	}
+	ended := time.Now()
 	if c := a.conn.Load(); c != nil {
+		if err != nil || a.singleUse {
+			c.Close()
+		}
+		c.endUse(ended)
 		c.dialer.idle.add(c)
 	}
+	a.transport.release(a.slot)
 	a.cancel(nil)
-	res.latency = time.Since(a.started)
+	res.latency = ended.Sub(a.started) - a.waited
 	return res
 }
 
+// send sends the request once its connection may be used, and again on another connection while the
+// transport's choice can't be used.
+func (a *attempt) send() (result, error) {
+	if a.singleUse {
+		a.slot = a.transport.acquireEmpty()
+	} else {
+		var left time.Duration
+		a.slot, left = a.transport.acquire(time.Now(), a.reuseDelay)
+		if err := a.waitForReuse(left); err != nil {
+			return result{}, err
+		}
+	}
+	res, err := a.roundTrip()
+	for retries := 0; err != nil && retries < maxConnRetries && a.mayChooseAnotherConn(); retries++ {
+		res, err = a.roundTrip()
+	}
+	return res, err
+}
+
+// waitForReuse waits until the reuse delay of the attempt's connection is over. It returns an error if the
+// attempt ends before.
+func (a *attempt) waitForReuse(left time.Duration) error {
+	if left <= 0 {
+		return nil
+	}
+	began := time.Now()
+	defer func() { a.waited = time.Since(began) }()
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-a.ctx.Done():
+	}
+	if cause := context.Cause(a.ctx); !errors.Is(cause, context.DeadlineExceeded) {
+		return cause
+	}
+	return errNotReusableYet
+}
+
 // mayChooseAnotherConn reports whether a round trip failed only because its connection had given way
-// to a dial: no byte was written, and the attempt is still wanted.
+// to a dial, or was used before and had ended or got unsolicited bytes: no byte was written, and the
+// attempt is still wanted.
 func (a *attempt) mayChooseAnotherConn() bool {
-	return a.connGaveWay.Swap(false) && a.conn.Load() == nil && a.stage.Load() == attemptWaiting && a.ctx.Err() == nil
+	if a.stage.Load() != attemptWaiting || a.ctx.Err() != nil {
+		return false
+	}
+	c := a.conn.Load()
+	if c != nil && c.wasUsed() {
+		a.abandonConn(c)
+		c.Close()
+	}
+	return a.connGaveWay.Swap(false) && a.conn.Load() == nil && a.stage.Load() == attemptWaiting
 }
 
 // roundTrip sends the request and reads the response. It returns an error if no complete response
@@ -215,7 +285,7 @@
 	switch {
 	case notSent && (a.req.abandoned.Load() || a.sendWindowExpired()):
 		return policy.Withdrawn // not the backend's fault
-	case notSent && (errors.Is(err, errNoSockets) || a.connGaveWay.Load() || errors.Is(cause, errBackendDrained)):
+	case notSent && (errors.Is(err, errNoSockets) || errors.Is(err, errNotReusableYet) || a.connGaveWay.Load() || errors.Is(cause, errBackendDrained)):
 		return policy.Full
 	case errors.Is(cause, errAttemptCanceled):
 		return policy.Cancelled
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -1,10 +1,6 @@
 package agent
 
-import (
-	"net/http"
-
-	"knotrouter/policy"
-)
+import "knotrouter/policy"
 
 // backend is one listed server and the connections to it. The loop owns it; the attempts share its
 // transport.
@@ -14,7 +10,7 @@
 	listedStartMs float64 // start of its process in ms of discovery's clock
 	loopStartMs   float64 // the same in ms of the loop's clock
 	usable        bool
-	transport     *http.Transport
+	transport     *backendTransport
 	attempts      map[*attempt]struct{} // in flight
 }
 
@@ -30,6 +26,23 @@
 	b.transport.CloseIdleConnections()
 }
 
+// newTransport returns a transport for connections to b.
+func (l *loop) newTransport(b *backend) *backendTransport {
+	t := l.dialer.newTransport()
+	t.onUnsolicited = func() { l.post(event{kind: eventUnsolicited, backend: b, transport: t}) }
+	return t
+}
+
+// handleUnsolicited processes that a backend sent bytes that no request had asked for. The line is logged
+// once for each connection.
+func (l *loop) handleUnsolicited(b *backend, t *backendTransport) {
+	if l.backends[b.addr] != b || b.transport != t {
+		return // a previous process or address
+	}
+	l.log.Info("backend sent unsolicited bytes", "address", b.dialAddr)
+	l.dispatch(&policy.Event{Kind: policy.EvUnsolicited, Server: b.addr})
+}
+
 // removeUnused removes b from the loop if b is not usable and has no attempt in flight.
 func (l *loop) removeUnused(b *backend) {
 	if !b.usable && len(b.attempts) == 0 {
--- a/internal/agent/backendrequest.go
+++ b/internal/agent/backendrequest.go
@@ -14,7 +14,11 @@
 func (a *attempt) outgoingRequest() *http.Request {
 	r := a.req
 	u := *r.url
-	u.Scheme, u.Host = "http", a.dialAddr
+	u.Scheme, u.Host = "http", a.slot.host
+	host := r.host
+	if host == "" {
+		host = a.dialAddr
+	}
 	h := http.Header{"User-Agent": {""}}
 	a.header = h
 	a.setTimeoutHeader()
@@ -28,8 +32,8 @@
 		h["Content-Type"] = []string{r.contentType}
 	}
 	a.bodyConsumed.Store(len(r.body) == 0)
-	return &http.Request{Method: r.method, URL: &u, Host: r.host, Header: h,
-		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	return &http.Request{Method: r.method, URL: &u, Host: host, Header: h,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Close: a.singleUse,
 		Body: &requestBody{reader: bytes.NewReader(r.body), consumed: &a.bodyConsumed}, ContentLength: int64(len(r.body))}
 }
 
--- /dev/null
+++ b/internal/agent/backendtransport.go
@@ -0,0 +1,116 @@
+package agent
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"knotrouter/policy"
+)
+
+// preferredIdleTime is how long a connection has been idle that is preferred to others.
+const preferredIdleTime = policy.CautiousReuseDelayMs * time.Millisecond
+
+// backendTransport sends attempts to one backend and chooses the connection of each. HTTP/1.1 has no
+// sign by which a second response to one request could be told from the response to the next, so a
+// connection is used again only after a delay: what arrives meanwhile is unsolicited, and ends it.
+//
+// net/http keeps idle connections by the host of the URL, and hands out the one used last. Here each
+// connection has a slot with a host name of its own, so that the agent chooses.
+type backendTransport struct {
+	*http.Transport
+	// onUnsolicited is called when the backend has sent bytes that no request had asked for, at most
+	// once for each connection. It may be nil.
+	onUnsolicited func()
+
+	mu    sync.Mutex
+	idle  []*connSlot // with a connection and without an attempt, the longest idle first
+	empty []*connSlot // without an attempt and, but for one whose dial came late, without a connection
+	slots int         // created, each with its number as its name
+}
+
+// connSlot is a place for one connection to a backend.
+type connSlot struct {
+	host string       // of the URLs of its requests
+	conn *backendConn // guarded by the lock of the transport; nil: none
+}
+
+// acquire returns the slot for an attempt that begins at the time now, and how much of the delay since
+// the last attempt on its connection is left. It prefers the connection that was used last of those that
+// have been idle for long, so that others can expire, and then the longest idle one: a short wait costs
+// less than one more connection, which takes capacity of the backend as long as it is open. Where no
+// connection is idle the slot is empty.
+func (t *backendTransport) acquire(now time.Time, delay time.Duration) (slot *connSlot, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		if t.idle[i].conn.reuseDelayLeft(now, max(delay, preferredIdleTime)) == 0 {
+			return t.takeIdle(i), 0
+		}
+	}
+	if len(t.idle) == 0 {
+		return t.takeEmpty(), 0
+	}
+	left = t.idle[0].conn.reuseDelayLeft(now, delay)
+	return t.takeIdle(0), left
+}
+
+// acquireEmpty returns a slot without a connection.
+func (t *backendTransport) acquireEmpty() *connSlot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.takeEmpty()
+}
+
+// takeIdle takes an idle slot for an attempt. The lock must be held.
+func (t *backendTransport) takeIdle(i int) *connSlot {
+	slot := t.idle[i]
+	t.idle = slices.Delete(t.idle, i, i+1)
+	return slot
+}
+
+// takeEmpty takes an empty slot for an attempt, or a new one. The lock must be held.
+func (t *backendTransport) takeEmpty() *connSlot {
+	if last := len(t.empty) - 1; last >= 0 {
+		slot := t.empty[last]
+		t.empty = t.empty[:last]
+		return slot
+	}
+	t.slots++
+	return &connSlot{host: strconv.Itoa(t.slots)}
+}
+
+// release ends an attempt's use of its slot.
+func (t *backendTransport) release(slot *connSlot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if slot.conn == nil {
+		t.empty = append(t.empty, slot)
+		return
+	}
+	t.idle = append(t.idle, slot)
+}
+
+// connected puts a connection that was opened for an attempt into the attempt's slot.
+func (t *backendTransport) connected(slot *connSlot, c *backendConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slot.conn = c
+}
+
+// connClosed empties the slot of a connection that is closed.
+func (t *backendTransport) connClosed(c *backendConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	slot := c.slot
+	if slot.conn != c {
+		return // another connection was opened in its place
+	}
+	slot.conn = nil
+	if i := slices.Index(t.idle, slot); i >= 0 {
+		t.idle = slices.Delete(t.idle, i, i+1)
+		t.empty = append(t.empty, slot)
+	}
+}
--- a/internal/agent/endpointlist.go
+++ b/internal/agent/endpointlist.go
@@ -139,7 +139,7 @@
 		if b.transport != nil {
 			b.withdrawAttempts()
 		}
-		b.dialAddr, b.listedStartMs, b.loopStartMs, b.transport = h.Dial, h.StartedMs, entry.StartedMs, l.dialer.newTransport()
+		b.dialAddr, b.listedStartMs, b.loopStartMs, b.transport = h.Dial, h.StartedMs, entry.StartedMs, l.newTransport(b)
 	}
 	if usable := entry.Health == policy.Ready; usable != b.usable {
 		b.usable = usable
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -21,22 +21,25 @@
 	eventShutdown                          // the agent shuts down
 	eventFailover                          // addr: the one that is not called any more; err
 	eventListPartial                       // list: the received entries of an incomplete list
+	eventUnsolicited                       // backend, transport: it sent bytes that no request had asked for
 )
 
 // event is one message to the loop. Which fields are set depends on the kind. It is one struct
 // passed by value, and not a type for each kind, because a value in an interface would cost an
 // allocation per request.
 type event struct {
-	kind     eventKind
-	req      *request
-	attempt  *attempt
-	result   result
-	token    uint32
-	list     endpoints.List
-	since    int64 // the version that the watch began with, or that of its list before this one
-	err      error
-	source   *discovery // the discovery that sent it; nil: not from discovery
-	addr     string
-	addrs    []string
-	services []string // nil: no scope
+	kind      eventKind
+	req       *request
+	attempt   *attempt
+	result    result
+	backend   *backend
+	transport *backendTransport
+	token     uint32
+	list      endpoints.List
+	since     int64 // the version that the watch began with, or that of its list before this one
+	err       error
+	source    *discovery // the discovery that sent it; nil: not from discovery
+	addr      string
+	addrs     []string
+	services  []string // nil: no scope
 }
--- a/internal/agent/idleconns.go
+++ b/internal/agent/idleconns.go
@@ -6,8 +6,8 @@
 )
 
 // idleConns holds the connections to backends that carry no attempt, longest idle first. One of them
-// gives way to a dial when the limit of connections is reached. A connection that an attempt uses is
-// never among them.
+// gives way to a dial when the limit of connections is reached. A connection that an attempt has claimed
+// is never among them; one whose reuse delay an attempt waits for may be.
 type idleConns struct {
 	mu    sync.Mutex
 	order list.List // of *backendConn
--- /dev/null
+++ b/internal/agent/lateansweruse_test.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"knotrouter/policy"
+)
+
+const (
+	// A second answer comes at least minAnswerLateness after the first and at most maxAnswerLateness.
+	minAnswerLateness, maxAnswerLateness = time.Millisecond, 8 * time.Millisecond
+	// workTime is how long the backends work on a request: its own answer comes that long after a second
+	// answer that crossed it.
+	workTime = 20 * time.Millisecond
+	// lateServed and lateNotStarted are second answers.
+	lateServed     = "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\nTEXT util=0.9"
+	lateNotStarted = "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
+// writeLate writes a second answer as soon as the next request on the connection has begun, within the
+// bounds of its lateness, so that whether it crosses the request depends on no timer of the test.
+func writeLate(c net.Conn, r *bufio.Reader, text string) {
+	time.Sleep(minAnswerLateness)
+	c.SetReadDeadline(time.Now().Add(maxAnswerLateness - minAnswerLateness))
+	r.Peek(1)
+	c.SetReadDeadline(time.Time{})
+	io.WriteString(c, text)
+}
+
+// A second answer that says "not started" proves nothing of the next request on its connection: that one
+// has run, and a request that must not be repeated would run twice.
+func TestLateNotStartedProvesNothing(t *testing.T) {
+	var mu sync.Mutex
+	executions := map[string]int{}
+	serve := func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			executions[request.Header.Get("Request-Id")]++
+			mu.Unlock()
+			time.Sleep(workTime)
+			io.WriteString(c, okAnswer)
+			writeLate(c, r, lateNotStarted)
+		}
+	}
+	_, base, _, _ := startAgent(t, testConfig(unreachableAddr, rawBackend(t, serve), rawBackend(t, serve)))
+	for i := range 2 {
+		call := newCall(base, "order")
+		call.Header.Set("Request-Id", fmt.Sprint("id", i))
+		send(t, call)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	for id, count := range executions {
+		if count > 1 {
+			t.Errorf("request %s ran %d times", id, count)
+		}
+	}
+}
+
+// A second answer to a request is not the result of a health check that follows on its connection: a
+// server that fails its checks would be used again.
+func TestLateAnswerIsNoHealthCheckResult(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		request, err := readRequest(r)
+		if err != nil || request.URL.Path == "/status/load" || request.URL.Path == "/health" {
+			return // fails the check by an end without an answer
+		}
+		io.WriteString(c, okAnswer)
+		writeLate(c, r, lateServed)
+		readRequest(r)
+	})
+	l := offlineLoop(t, addr)
+	b := l.backends[policyAddr("s-0")]
+	if res := newAttempt(b.transport, addr, http.MethodPost, noTimeout).run(); res.status != policy.OK {
+		t.Fatalf("the request ended %d: %v", res.status, res.err)
+	}
+	l.actions = []policy.Action{{Kind: policy.ActProbe, Server: b.addr, ReuseDelayMs: testReuseDelayMs}}
+	l.executeActions()
+	if e := <-l.events; e.result.status == policy.OK {
+		t.Fatalf("a health check that got no answer succeeded with %q", e.result.body)
+	}
+}
+
+// A second answer to a health check is not served to the client of the next request on its connection.
+func TestLateHealthCheckAnswerIsNotServed(t *testing.T) {
+	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := readRequest(r)
+			if err != nil {
+				return
+			}
+			if request.Header.Get("Request-Id") != "" {
+				time.Sleep(workTime)
+				io.WriteString(c, okAnswer)
+				continue
+			}
+			io.WriteString(c, lateServed)
+			writeLate(c, r, lateServed)
+		}
+	})
+	l := offlineLoop(t, addr)
+	b := l.backends[policyAddr("s-0")]
+	l.actions = []policy.Action{{Kind: policy.ActProbe, Server: b.addr, ReuseDelayMs: testReuseDelayMs}}
+	l.executeActions()
+	if e := <-l.events; e.result.status != policy.OK {
+		t.Fatalf("the health check ended %d: %v", e.result.status, e.result.err)
+	}
+	res := newAttempt(b.transport, addr, http.MethodPost, noTimeout).run()
+	if res.status == policy.OK && string(res.body) != "done" {
+		t.Fatalf("the request was answered with the load report %q", res.body)
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -178,6 +178,8 @@
 		l.warnDiscovery("discovery: failed over", "address", e.addr, "err", e.err)
 	case eventDiscoveryChanged:
 		l.changeDiscovery(e.addrs, e.services)
+	case eventUnsolicited:
+		l.handleUnsolicited(e.backend, e.transport)
 	case eventShutdown:
 		if l.controlPlane != nil {
 			go l.discovery.leave(l.ctx)
--- a/internal/agent/rawbackend_test.go
+++ b/internal/agent/rawbackend_test.go
@@ -55,13 +55,16 @@
 	return &dialer{connect: (&net.Dialer{}).DialContext, connectTimeout: noTimeout, idleTimeout: noTimeout, maxIdlePerBackend: 4, maxOpen: 100}
 }
 
+// testReuseDelayMs is a delay after which the balancer lets a connection be used again.
+const testReuseDelayMs = 10.0
+
 // newAttempt returns an attempt like the loop does.
-func newAttempt(tr *http.Transport, dial, method string, timeout time.Duration) *attempt {
+func newAttempt(tr *backendTransport, dial, method string, timeout time.Duration) *attempt {
 	r := &request{method: method, url: &url.URL{Path: "/order/u1"}, host: "backend.local", wireID: "id1"}
 	if method == http.MethodPost {
 		r.body = []byte("body")
 	}
-	a := &attempt{req: r, transport: tr, dialAddr: dial, started: time.Now()}
+	a := &attempt{req: r, transport: tr, dialAddr: dial, started: time.Now(), reuseDelay: milliseconds(testReuseDelayMs)}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	var stop context.CancelFunc
 	a.ctx, stop = context.WithTimeout(ctx, timeout)
--- a/internal/agent/responseframing.go
+++ b/internal/agent/responseframing.go
@@ -17,7 +17,9 @@
 type responseFraming struct {
 	mu sync.Mutex
 	framingState
-	violated bool // bytes arrived after the end or before a request, or the end is ambiguous
+	violated    bool // bytes arrived after the end or before a request, or the end is ambiguous
+	begun       bool // a response was expected at some time
+	unsolicited bool // bytes arrived after the end of a response
 }
 
 // framingState is the parser's progress in a response.
@@ -49,14 +51,35 @@
 func (f *responseFraming) beginResponse() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.framingState = framingState{line: f.line[:0]}
+	f.framingState, f.begun = framingState{line: f.line[:0]}, true
 	return !f.violated
 }
 
+// cancelResponse takes back that a response is expected: no request was written.
+func (f *responseFraming) cancelResponse() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.complete = true
+}
+
 // scan reads the next bytes of the connection and returns how many of them belong to the response.
 func (f *responseFraming) scan(p []byte) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.scanLocked(p)
+}
+
+// receive calls read and scans what it read in one step, of which beginResponse is before or after. It
+// returns how many bytes were read, and how many of them belong to the response.
+func (f *responseFraming) receive(p []byte, read func([]byte) (int, error)) (n, accepted int, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, err = read(p)
+	return n, f.scanLocked(p[:n]), err
+}
+
+// scanLocked is scan for a caller that holds the lock.
+func (f *responseFraming) scanLocked(p []byte) int {
 	total := len(p)
 	for len(p) > 0 && !f.untilClose {
 		switch {
@@ -65,7 +88,7 @@
 			f.remaining -= n
 			p = p[n:]
 		case f.complete:
-			f.violated = true
+			f.violated, f.unsolicited = true, f.begun
 			return total - len(p)
 		default:
 			text, rest, lineComplete := bytes.Cut(p, []byte("\n"))
@@ -137,3 +160,11 @@
 	defer f.mu.Unlock()
 	return f.violated
 }
+
+// hasUnsolicited reports whether bytes arrived after the end of a response. What a backend sends on a
+// connection that has carried no request is not the second response to one.
+func (f *responseFraming) hasUnsolicited() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unsolicited
+}
--- a/internal/agent/retrywindow_test.go
+++ b/internal/agent/retrywindow_test.go
@@ -127,7 +127,7 @@
 	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\ndo\r\n2\r\nne\r\n0\r\nX: y\r\n\r\n"
 	stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
 	for name, first := range map[string]string{"length": okAnswer, "chunks": chunked} {
-		for _, late := range []time.Duration{0} {
+		for _, late := range []time.Duration{0, 5 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, late), func(t *testing.T) {
 				addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
 					for n := 0; ; n++ {
--- a/internal/simwire/formats_test.go
+++ b/internal/simwire/formats_test.go
@@ -100,7 +100,7 @@
 		action policy.Action
 		want   string
 	}{
-		{policy.Action{Kind: policy.ActSend, Request: 0x0a0b0c0d, Server: sampleAddr, Ms: 12.5, SendByMs: 3}, "54 00000009 0a0b0c0d 010203040506 4029000000000000"},
+		{policy.Action{Kind: policy.ActSend, Request: 0x0a0b0c0d, Server: sampleAddr, Ms: 12.5, SendByMs: 3, ReuseDelayMs: 10, SingleUse: true}, "54 00000009 0a0b0c0d 010203040506 4029000000000000"},
 		{policy.Action{Kind: policy.ActCancel, Request: 0x0a0b0c0d, Attempt: 0x0102}, "59 00000009 0a0b0c0d 0102"},
 		{policy.Action{Kind: policy.ActReject, Request: 0x0a0b0c0d, Ms: 12.5}, "51 00000009 0a0b0c0d 4029000000000000"},
 		{policy.Action{Kind: policy.ActFail, Request: 0x0a0b0c0d}, "5a 00000009 0a0b0c0d"},
--- a/policy/anyorder_test.go
+++ b/policy/anyorder_test.go
@@ -36,7 +36,8 @@
 
 // drawEvent draws an event of any kind on the requests so far, which may be unknown, finished or queued.
 func drawEvent(t *rapid.T, requests int) Event {
-	kind := rapid.SampledFrom([]EventKind{EvRequest, EvRequest, EvOutcome, EvOutcome, EvResponseStarted, EvClientCanceled, EvTimer, EvList}).Draw(t, "kind")
+	kind := rapid.SampledFrom([]EventKind{EvRequest, EvRequest, EvOutcome, EvOutcome, EvResponseStarted, EvClientCanceled, EvTimer, EvList,
+		EvUnsolicited}).Draw(t, "kind")
 	ev := Event{
 		Kind:        kind,
 		Request:     RequestID(rapid.IntRange(1, requests+1).Draw(t, "request")),
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -88,7 +88,8 @@
 	if b.slowStartFactor(s) < 1 {
 		s.slowStartBudget -= a.cost
 	}
-	b.emit(Action{Kind: ActSend, Request: r.id, Server: s.addr, Ms: r.deadline - b.now, SendByMs: by})
+	b.emit(Action{Kind: ActSend, Request: r.id, Server: s.addr, Ms: r.deadline - b.now, SendByMs: by,
+		ReuseDelayMs: s.reuseDelay(), SingleUse: b.singleUse(s)})
 	return true
 }
 
--- a/policy/health.go
+++ b/policy/health.go
@@ -16,6 +16,7 @@
 	s := a.server
 	switch status {
 	case OK:
+		s.recordReusable(a.sentAt)
 		b.refillSlowStartBudgets(s, a.cost)
 		b.recordSuccess(a, latencyMs)
 	case Error, Reset:
@@ -133,7 +134,8 @@
 		if pending && b.settings.Limits.Probing && !s.probing && b.activeProbes < b.maxProbes() {
 			s.probing = true
 			b.activeProbes++
-			b.emit(Action{Kind: ActProbe, Server: s.addr})
+			b.emit(Action{Kind: ActProbe, Server: s.addr, ReuseDelayMs: s.reuseDelay(),
+				SingleUse: b.singleUse(s)})
 		}
 	}
 }
--- a/policy/list.go
+++ b/policy/list.go
@@ -122,6 +122,7 @@
 	s.recentEjections, s.consecutiveSuccesses = 0, 0
 	s.latency, s.latencySamples = 0, 0
 	s.concurrencyLimit, s.slowStartBudget = 1, b.rng.Float64()
+	s.singleUseUntil, s.cleanResponses = 0, 0
 }
 
 // subsetOrder is a server's place in the agent's own order, whose first servers are its subset. Where
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,8 @@
 // This file holds the entry points of a Balancer: it takes each event and hands it to the file that
 // decides on it. Requests are decided on in requests.go, their attempts in attempts.go, the choice of a
-// server in pick.go and slowstart.go, the health of servers in health.go, latency.go and overload.go,
-// and the list of servers in discovery.go, list.go and unconfirmed.go. The interface is in types.go.
+// server in pick.go and slowstart.go, the reuse of connections in connections.go, the health of servers
+// in health.go, latency.go and overload.go, and the list of servers in discovery.go, list.go and
+// unconfirmed.go. The interface is in types.go.
 
 package policy
 
@@ -77,6 +78,8 @@
 		b.onProbeResult(ev)
 	case EvTimer:
 		b.onTimer(ev.Token)
+	case EvUnsolicited:
+		b.onUnsolicited(ev)
 	}
 	b.dispatch()
 	b.scheduleTick()
--- /dev/null
+++ b/policy/singleuse_test.go
@@ -0,0 +1,29 @@
+package policy
+
+import "testing"
+
+// Responses on connections that are closed right after them prove nothing: a second response that comes
+// late has no one to see it. So a server is not proven when its connections are reused again.
+func TestSingleUseProvesNothing(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	exchange := func() *Action {
+		r.b.retryDebt = 0
+		id, actions := r.request(0, 0)
+		sent := find(actions, ActSend)
+		if sent == nil {
+			t.Fatalf("not sent: %+v", actions)
+		}
+		r.outcome(id, 0, sent.Server, OK, 10)
+		return sent
+	}
+	r.unsolicited(addr(0))
+	for range provenResponses {
+		if !exchange().SingleUse {
+			t.Fatal("the connection is kept")
+		}
+	}
+	r.now += singleUseMs
+	if sent := exchange(); sent.SingleUse || sent.ReuseDelayMs != CautiousReuseDelayMs {
+		t.Errorf("after single use: single use %v, a delay of %v ms, want %v", sent.SingleUse, sent.ReuseDelayMs, CautiousReuseDelayMs)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,8 @@
 	consecutiveSuccesses int     // since recentEjections last changed
 	lastResponse         float64 // when it last answered anything
 	probing              bool    // a probe is under way
+	singleUseUntil       float64 // until then, each connection carries one request only
+	cleanResponses       int     // good ones on kept connections since its start or the last unsolicited bytes
 
 	// What the agent sends to it.
 	inFlight         []*attempt // oldest first
--- a/policy/types.go
+++ b/policy/types.go
@@ -90,6 +90,7 @@
 	EvProbeResult                          // Server, Status, LatencyMs, Report
 	EvTimer                                // Token
 	EvPeer                                 // a message of another agent; ignored
+	EvUnsolicited                          // Server: it sent bytes that no request had asked for
 )
 
 // Event is something that happened to one agent.
@@ -121,11 +122,11 @@
 
 // The kinds of actions, with the fields that are set.
 const (
-	ActSend      ActionKind = iota + 1 // Request, Server, Ms: timeout, SendByMs
+	ActSend      ActionKind = iota + 1 // Request, Server, Ms: timeout, SendByMs, ReuseDelayMs, SingleUse
 	ActCancel                          // Request, Attempt
 	ActReject                          // Request, Ms: Retry-After
 	ActFail                            // Request: answer that it failed
-	ActProbe                           // Server
+	ActProbe                           // Server, ReuseDelayMs, SingleUse
 	ActTimer                           // Ms, Token
 	ActWatchList                       // subscribe to the list
 	ActFetchList                       // fetch the full list once
@@ -136,12 +137,14 @@
 
 // Action is something that the agent must do, in the order of the actions.
 type Action struct {
-	Kind     ActionKind
-	Request  RequestID
-	Server   Addr
-	Attempt  int
-	Ms       float64
-	SendByMs float64 // the last byte must be written in this time, or the attempt dropped; 0: no limit
-	Token    uint32
-	Text     string
+	Kind         ActionKind
+	Request      RequestID
+	Server       Addr
+	Attempt      int
+	Ms           float64
+	SendByMs     float64 // the last byte must be written in this time, or the attempt dropped; 0: no limit
+	ReuseDelayMs float64 // from the last response on its connection until it may use that
+	SingleUse    bool    // on a new connection that is closed after it
+	Token        uint32
+	Text         string
 }
