End an attempt that is answered with 101

Cause: roundTrip read the body before it looked at the status. net/http hands out the raw connection as the body of a 101, and its reads end with no context. Change: a 101, which no request asks for, ends the attempt at once as one that may have run.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -28,6 +28,7 @@
 	errClientCanceled        = errors.New("nobody waits for the answer")
 	errResponseBeforeRequest = errors.New("an answer to a request that has not gone out whole")
 	errDedupWindowExpired    = errors.New("too late for a repeat to be known as one")
+	errUpgraded              = errors.New("answer: a protocol that was not asked for")
 	errUnboundedBody         = errors.New("a body that ends with the connection was not waited for")
 )
 
@@ -251,6 +252,9 @@
 		return res, err
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return res, errUpgraded // its body is the connection, whose reads end with no context
+	}
 	res.loadReport = resp.Header.Get("Server-Load")
 	if resp.StatusCode == http.StatusOK && !a.bodyConsumed.Load() {
 		return res, errResponseBeforeRequest
