Lab: add a fault of servers that send an answer a second time, 1 to 8 ms late

Changes: kind "repeated" of servers. A share "size" of the answers, those to health checks included, is written again as it was, with one write and never within another answer; which ones and when is drawn from the server's seed. Nothing is written on a closed connection or from an isolated machine. summary.json counts the repeated answers (answers_repeated, a new key). The size of this kind and of errors, resets, lost and spoilt has to be a share: above 1 is one line that names the key.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -180,6 +180,11 @@
 		{"[[fault]]", "[[expect]]\nwhat = \"served\"\n[[fault]]", "expect[0].at_least"},
 		{"[[fault]]", "[[expect]]\nwhat = \"served\"\nwindow = \"moon\"\nat_least = 1\n[[fault]]", "expect[0].window"},
 		{`kind = "drain"`, `kind = "slow"`, "fault[0].size: missing"},
+		{`kind = "drain"`, `kind = "repeated"`, "fault[0].size: missing"},
+		{`kind = "drain"`, "kind = \"repeated\"\nsize = 1.5", "fault[0].size: must be a share of the answers, above 0 to 1, is 1.5"},
+		{`kind = "drain"`, "kind = \"repeated\"\nsize = -0.5", "fault[0].size: must be 0 or above"},
+		{`kind = "drain"`, "kind = \"repeated\"\nsize = nan", "fault[0].size: must be a share of the answers, above 0 to 1, is NaN"},
+		{`kind = "drain"`, "kind = \"errors\"\nsize = 1.5", "fault[0].size: must be a share of the answers, above 0 to 1, is 1.5"},
 	} {
 		text := strings.Replace(good, c.from, c.to, 1)
 		if text == good {
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -128,6 +128,8 @@
 		return server.Faults{LostShare: f.Size}
 	case faultTruncated:
 		return server.Faults{TruncatedShare: f.Size}
+	case faultRepeated:
+		return server.Faults{RepeatedShare: f.Size}
 	}
 	return server.Faults{}
 }
--- a/internal/lab/experiment/kinds.go
+++ b/internal/lab/experiment/kinds.go
@@ -33,6 +33,7 @@
 	faultResets    = "resets"      // a share of the requests end with a reset connection
 	faultLost      = "lost"        // a share of the requests get no answer
 	faultTruncated = "spoilt"      // a share of the answers end in the middle
+	faultRepeated  = "repeated"    // a share of the answers are sent a second time some milliseconds later
 	faultDown      = "down"        // discovery does not answer
 	faultBurst     = "burst"       // the rate of the load is multiplied
 	faultHeavy     = "heavy"       // a share of the requests need more work
@@ -46,7 +47,7 @@
 // faultKinds lists the kinds of faults by the kind of their target.
 var faultKinds = map[string][]string{
 	targetServers: {faultKill, faultIsolate, faultDrain, faultSlow, faultNeighbour, faultErrors, faultResets, faultLost, faultTruncated,
-		faultReplace, faultMute},
+		faultRepeated, faultReplace, faultMute},
 	targetAgents:       {faultKill, faultStop, faultRestart, faultReload, faultSignals, faultFlood, faultPipeline, faultNoFiles},
 	targetControlPlane: {faultKill, faultStop, faultRestart},
 	targetWorkers:      {faultKill, faultStop, faultRestart},
@@ -57,7 +58,10 @@
 
 // sizedFaultKinds are the kinds of faults, other than of links, that need a size.
 var sizedFaultKinds = map[string]bool{faultSlow: true, faultNeighbour: true, faultErrors: true, faultResets: true, faultLost: true,
-	faultTruncated: true, faultBurst: true, faultHeavy: true, faultFlood: true, faultPipeline: true}
+	faultTruncated: true, faultRepeated: true, faultBurst: true, faultHeavy: true, faultFlood: true, faultPipeline: true}
+
+// responseFaultKinds are the kinds of faults whose size is a share of a server's responses.
+var responseFaultKinds = map[string]bool{faultErrors: true, faultResets: true, faultLost: true, faultTruncated: true, faultRepeated: true}
 
 // sizedLinkFaultKinds are the kinds of faults of links that need a size.
 var sizedLinkFaultKinds = map[string]bool{faultSlow: true, faultReset: true, faultLoss: true}
--- a/internal/lab/experiment/summary.go
+++ b/internal/lab/experiment/summary.go
@@ -99,6 +99,7 @@
 	Probes                int64   `json:"probes"`
 	ServerAttempts        int64   `json:"attempts_at_servers"`
 	Rejected              int64   `json:"turned_away"`
+	Repeated              int64   `json:"answers_repeated"`
 	SkippedAgentDown      int64   `json:"not_asked_agent_down"`
 	ClientAttempts        int64   `json:"tries"`
 	DuplicatesDropped     int64   `json:"effects_dropped"`
@@ -240,6 +241,7 @@
 		t.Probes += srv.Probes.Load()
 		t.ServerAttempts += srv.Arrived.Load()
 		t.Rejected += srv.Rejected.Load()
+		t.Repeated += srv.Repeated.Load()
 		t.Overloads += srv.State().Overloads
 		t.ServerWorkSeconds += float64(srv.WorkMicros.Load()) / 1e6
 	}
--- a/internal/lab/experiment/validate.go
+++ b/internal/lab/experiment/validate.go
@@ -262,6 +262,8 @@
 		return configfile.NewKeyError(at+"after", "arrivals are drawn ahead, so a change of the load needs a time")
 	case sizedFaultKinds[f.Kind] && kind != targetLink && f.Size == 0 || kind == targetLink && sizedLinkFaultKinds[f.Kind] && f.Size == 0:
 		return configfile.NewKeyError(at+"size", "missing")
+	case responseFaultKinds[f.Kind] && !isFraction(f.Size):
+		return configfile.NewKeyError(at+"size", "must be a share of the answers, above 0 to 1, is %v", f.Size)
 	}
 	return nil
 }
--- a/internal/lab/server/config.go
+++ b/internal/lab/server/config.go
@@ -48,6 +48,7 @@
 	ResetShare     float64 // the connection is reset once the work is done
 	LostShare      float64 // the work is done and no response is sent
 	TruncatedShare float64 // the connection is reset in the middle of the response
+	RepeatedShare  float64 // the whole response is sent a second time some milliseconds later
 }
 
 // Config describes one server.
--- a/internal/lab/server/connection.go
+++ b/internal/lab/server/connection.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"knotrouter/internal/lab/loopback"
 )
@@ -22,6 +23,12 @@
 	overLimit          bool         // more connections were open than the policy allows
 	closeOnce          sync.Once
 	closed             chan struct{}
+	// repeatDelay is the time from the present response to its repetition; 0: it is not repeated. It
+	// belongs to the goroutine that serves the connection.
+	repeatDelay time.Duration
+
+	mu       sync.Mutex // held through a write
+	response []byte     // what was written of the present response; empty between two responses
 }
 
 // connListener wraps the connections that it accepts in a conn.
@@ -67,9 +74,42 @@
 	if _, open := c.server.network.wait(c.closed); !open {
 		return 0, net.ErrClosed
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.response = append(c.response, p...)
 	return c.Conn.Write(p)
 }
 
+// endResponse notes that the present response was written completely, and has it repeated if a fault
+// wants that.
+func (c *conn) endResponse() {
+	c.mu.Lock()
+	response := c.response
+	c.response = nil
+	c.mu.Unlock()
+	if c.repeatDelay > 0 {
+		go c.repeat(response, c.repeatDelay)
+	}
+}
+
+// repeat writes a response again after the delay, with one write. It writes nothing if the connection
+// is closed before, if the machine is isolated then, or within another response.
+func (c *conn) repeat(response []byte, delay time.Duration) {
+	select {
+	case <-time.After(delay):
+	case <-c.closed:
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.response) > 0 || !c.server.network.isOpen() {
+		return
+	}
+	if _, err := c.Conn.Write(response); err == nil {
+		c.server.Repeated.Add(1)
+	}
+}
+
 // Close closes the connection and ends reads and writes that wait. It may be called repeatedly.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
--- a/internal/lab/server/connection_test.go
+++ b/internal/lab/server/connection_test.go
@@ -85,3 +85,37 @@
 		t.Errorf("health changes: %s", got)
 	}
 }
+
+// A response is not repeated on a connection that is closed, from an isolated machine, or within
+// another response.
+func TestRepeatsNothingWhereItMustNot(t *testing.T) {
+	for name, situation := range map[string]struct {
+		delay   time.Duration
+		prepare func(ts *testServer, c *conn)
+	}{
+		"closed":              {time.Hour, func(_ *testServer, c *conn) { c.Close() }},
+		"isolated":            {ms, func(ts *testServer, _ *conn) { ts.network.setOpen(false) }},
+		"in another response": {ms, func(_ *testServer, c *conn) { c.response = []byte("HTTP/1.1 200 OK\r\n") }},
+	} {
+		ts := newTestServer(t, nil).start(Version{}, false)
+		near, far := net.Pipe() // a write blocks until it is read
+		c := &conn{Conn: near, server: ts.Server, closed: make(chan struct{})}
+		situation.prepare(ts, c)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			c.repeat([]byte("answer"), situation.delay)
+		}()
+		select {
+		case <-done:
+		case <-time.After(testTimeout):
+			t.Errorf("%s: still writing", name)
+		}
+		if ts.Repeated.Load() != 0 {
+			t.Errorf("%s: repeated", name)
+		}
+		c.Close()
+		far.Close()
+		<-done
+	}
+}
--- a/internal/lab/server/http.go
+++ b/internal/lab/server/http.go
@@ -32,6 +32,8 @@
 	maxBodyBytes = 64 << 10
 	// minWorkNoise bounds how much less work an attempt is than its request says.
 	minWorkNoise = 0.2
+	// minRepeatDelay and maxRepeatDelay bound the time from a response to its repetition by a fault.
+	minRepeatDelay, maxRepeatDelay = time.Millisecond, 8 * time.Millisecond
 )
 
 // ServeHTTP answers a request, which has an ID, or else an operation or a probe.
@@ -39,6 +41,7 @@
 	c := r.Context().Value(connContextKey{}).(*conn)
 	w.Header()["Date"] = nil
 	firstOnConn := !c.used.Swap(true)
+	c.repeatDelay = s.drawRepeatDelay()
 	switch {
 	case r.Header.Get(headerRequestID) != "":
 		s.serveRequest(w, r, c, firstOnConn)
@@ -243,6 +246,16 @@
 	return s.rng.Float64() < share
 }
 
+// drawRepeatDelay returns the time after which the present response is repeated, or 0 if it is not.
+func (s *Server) drawRepeatDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.RepeatedShare <= 0 || s.rng.Float64() >= s.faults.RepeatedShare {
+		return 0
+	}
+	return minRepeatDelay + time.Duration(s.rng.Int64N(int64(maxRepeatDelay-minRepeatDelay)+1))
+}
+
 // drawWorkNoise returns the factor between the work of an attempt and that of its request.
 func (s *Server) drawWorkNoise() float64 {
 	if s.WorkNoise <= 0 {
--- a/internal/lab/server/http_test.go
+++ b/internal/lab/server/http_test.go
@@ -1,8 +1,13 @@
 package server
 
 import (
+	"bufio"
+	"errors"
 	"net/http"
+	"net/http/httputil"
+	"os"
 	"testing"
+	"time"
 
 	"knotrouter/internal/lab/check"
 )
@@ -100,3 +105,75 @@
 		t.Errorf("a killed server: %s", got)
 	}
 }
+
+// Each answer, also that to a health check, comes a second time on its connection, unchanged and not
+// before minRepeatDelay. Without the fault nothing follows an answer.
+func TestRepeatedResponses(t *testing.T) {
+	ts := newTestServer(t, nil).start(Version{Name: "1"}, false)
+	c := ts.dial()
+	reader := bufio.NewReader(c)
+	readResponse := func() string {
+		t.Helper()
+		_ = c.SetReadDeadline(time.Now().Add(testTimeout))
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := httputil.DumpResponse(resp, true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	ts.SetFaults(Faults{RepeatedShare: 1})
+	_, request := ts.newRequest("twice", classLook, 1)
+	for i, r := range []*http.Request{request, ts.newProbe("/health")} {
+		if err := r.Write(c); err != nil {
+			t.Fatal(err)
+		}
+		first, at := readResponse(), time.Now()
+		if second := readResponse(); second != first {
+			t.Errorf("%s: first\n%s\nthen\n%s", r.URL.Path, first, second)
+		}
+		if took := time.Since(at); took < minRepeatDelay/2 {
+			t.Errorf("%s: the second answer came %v after the first one", r.URL.Path, took)
+		}
+		ts.waitUntil("counted", func() bool { return ts.Repeated.Load() == int64(i+1) })
+	}
+	ts.SetFaults(Faults{})
+	_, r := ts.newRequest("once", classLook, 1)
+	if err := r.Write(c); err != nil {
+		t.Fatal(err)
+	}
+	readResponse()
+	_ = c.SetReadDeadline(time.Now().Add(5 * maxRepeatDelay))
+	if n, err := reader.Read(make([]byte, 1)); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("without the fault %d bytes follow an answer, error %v", n, err)
+	}
+}
+
+// The seed determines which answers are repeated and when.
+func TestSeedDeterminesRepeats(t *testing.T) {
+	const draws = 1000
+	first, second := newTestServer(t, nil), newTestServer(t, nil)
+	first.SetFaults(Faults{RepeatedShare: 0.3})
+	second.SetFaults(Faults{RepeatedShare: 0.3})
+	repeated := 0
+	for range draws {
+		delay := first.drawRepeatDelay()
+		if other := second.drawRepeatDelay(); other != delay {
+			t.Fatalf("one seed draws %v and %v", delay, other)
+		}
+		if delay == 0 {
+			continue
+		}
+		repeated++
+		if delay < minRepeatDelay || delay > maxRepeatDelay {
+			t.Errorf("repeated after %v", delay)
+		}
+	}
+	if repeated < draws/5 || repeated > 2*draws/5 {
+		t.Errorf("%d of %d answers are repeated, want three in ten", repeated, draws)
+	}
+}
--- a/internal/lab/server/networkgate.go
+++ b/internal/lab/server/networkgate.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// isOpen reports whether the gate is open.
+func (g *networkGate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		return true
+	default:
+		return false
+	}
+}
+
 // wait waits until the gate is open or the connection is closed, and returns which: open is false
 // if the connection was closed first. waited reports whether the gate was closed at the call.
 func (g *networkGate) wait(connClosed <-chan struct{}) (waited, open bool) {
--- a/internal/lab/server/server.go
+++ b/internal/lab/server/server.go
@@ -23,6 +23,7 @@
 	Rejected    atomic.Int64 // requests that were rejected without being started
 	Errors      atomic.Int64 // responses with 500
 	Aborted     atomic.Int64 // requests that were canceled, and responses that a fault broke
+	Repeated    atomic.Int64 // responses that a fault sent a second time
 	Connections atomic.Int64 // accepted
 	Probes      atomic.Int64
 	WorkMicros  atomic.Int64 // work of completed requests, in standard-core microseconds
@@ -89,8 +90,8 @@
 	return s, nil
 }
 
-// newHTTPServer returns the HTTP front. It hands each request its conn in the context, and records
-// in the conn when the first byte of a request arrived.
+// newHTTPServer returns the HTTP front. It hands each request its conn in the context, and tells the
+// conn when the first byte of a request arrived and when a response was written completely.
 func (s *Server) newHTTPServer() *http.Server {
 	return &http.Server{
 		Handler:           s,
@@ -101,8 +102,12 @@
 			return context.WithValue(ctx, connContextKey{}, nc)
 		},
 		ConnState: func(nc net.Conn, state http.ConnState) {
-			if c, ok := nc.(*conn); ok && state == http.StateActive {
+			c, ok := nc.(*conn)
+			switch {
+			case ok && state == http.StateActive:
 				c.firstByteAt.Store(int64(s.env.Clock()))
+			case ok && state == http.StateIdle:
+				c.endResponse()
 			}
 		},
 	}
