--- a/internal/lab/experiment/irregular.go
+++ b/internal/lab/experiment/irregular.go
@@ -63,9 +63,9 @@
 			_ = agent.process.Signal(syscall.SIGHUP) // it may have ended since
 		case signalTerminate:
 			if terminatedAt.IsZero() {
-				terminatedAt = time.Now()
 				fl.startIrregular(agent, rng)
 				sleep(ctx, splitPause/2)
+				terminatedAt = time.Now()
 			}
 			_ = agent.process.Signal(syscall.SIGTERM)
 		case signalKill:
