Soak: draw repeated answers, and a crowd of idle connections beside signals

Seen: the soak drew no second answers, and it drew floods of connections and series of signals one after the other only.

Three in ten series of signals have a crowd of as many idle connections as the agent may have descriptors, from 0.1 to 0.8 s before.

Not changed, as they were drawn already: clients that use open connections after SIGTERM until the kill, and series of signals.

--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -18,6 +18,9 @@
 	// hangShare is the part of the series of signals during which servers hang, so that requests are in
 	// flight for long.
 	hangShare = 0.7
+	// crowdShare is the part of the series of signals during which idle connections fill the agent's
+	// descriptors.
+	crowdShare = 0.3
 	// firstFaultAt is when faults begin in other seeds, at the earliest.
 	firstFaultAt = 2 * time.Second
 	// processFaultPeriod is the time from one fault of an agent's process to the next: a termination and
@@ -25,6 +28,9 @@
 	processFaultPeriod = 6 * time.Second
 	// environmentFaultPeriod is the mean time between other faults.
 	environmentFaultPeriod = 4 * time.Second
+	// repeatedFactor is how much longer than other faults answers are repeated: only one whose connection
+	// is used again within some milliseconds can do harm.
+	repeatedFactor = 4
 )
 
 // Fault is one fault of a drawn experiment, as the lines of its table.
@@ -62,6 +68,7 @@
 	rng      *rand.Rand
 	duration time.Duration
 	agents   int
+	sockets  int // that an agent may have open
 	servers  int
 	stewards int // control-plane servers; 0: the emulated list service
 	first    time.Duration
@@ -72,6 +79,7 @@
 func Draw(seed uint64, duration time.Duration) *Experiment {
 	d := &drawing{rng: rand.New(rand.NewPCG(seed, 0)), duration: duration}
 	d.agents, d.servers = 2+d.rng.IntN(3), 6+d.rng.IntN(9)
+	d.sockets = pick(d.rng, 160, 256, 512, 1024)
 	if d.rng.Float64() < controlPlaneShare {
 		d.stewards = 3
 	}
@@ -91,7 +99,7 @@
 func (d *drawing) drawHeader(name string, seed uint64) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "name = %q\nabout = \"drawn by lab soak\"\nseed = %d\nduration = %q\nwarmup = \"1s\"\nlateness = \"30ms\"\n", name, max(seed, 1), d.duration)
-	fmt.Fprintf(&text, "[agents]\ncount = %d\nsockets = %d\nknown = %q\n", d.agents, pick(d.rng, 160, 256, 512, 1024), pick(d.rng, "now", "now", "empty"))
+	fmt.Fprintf(&text, "[agents]\ncount = %d\nsockets = %d\nknown = %q\n", d.agents, d.sockets, pick(d.rng, "now", "now", "empty"))
 	fmt.Fprintf(&text, "[servers]\ncount = %d\n", d.servers)
 	if d.stewards > 0 {
 		fmt.Fprintf(&text, "[stewards]\ncount = %d\nlease_ttl = %q\n", d.stewards, pick(d.rng, "3s", "6s"))
@@ -163,6 +171,9 @@
 			if d.stewards > 0 {
 				from = terminations
 			}
+			if d.draw(crowdShare) {
+				d.add("flood", target, at-d.millis(100, 800), key("for", d.millis(1000, 5000)), fmt.Sprintf("size = %d.0", d.sockets))
+			}
 			d.add("signals", target, at, key("every", d.millis(0, 400)), "signals = "+pick(d.rng, from...))
 			if d.draw(hangShare) {
 				d.drawHangingServers(at)
@@ -212,10 +223,11 @@
 	}
 }
 
-// drawServerFault draws a fault of one or two servers.
+// drawServerFault draws a fault of one or two servers, or of more where few would show nothing.
 func (d *drawing) drawServerFault(at, lasts time.Duration) {
 	target := fmt.Sprintf("servers#%d", 1+d.rng.IntN(2))
-	kind := pick(d.rng, "kill", "vanish", "drain", "drain", "replace", "errors", "resets", "lost", "spoilt", "slow", "mute")
+	kind := pick(d.rng, "kill", "vanish", "drain", "drain", "replace", "errors", "resets", "lost", "spoilt", "slow", "mute",
+		"repeated", "repeated", "repeated")
 	switch kind {
 	case "mute":
 		if d.stewards > 0 {
@@ -225,6 +237,9 @@
 		d.add(kind, target, at, key("for", lasts), fmt.Sprintf("size = %.1f", 0.1+0.8*d.rng.Float64()))
 	case "slow":
 		d.add(kind, target, at, key("for", lasts), fmt.Sprintf("size = %d.0", 2+d.rng.IntN(8)))
+	case "repeated":
+		target = fmt.Sprintf("servers%%%.1f", 0.3+0.7*d.rng.Float64())
+		d.add(kind, target, at, key("for", min(repeatedFactor*lasts, d.duration-at)), fmt.Sprintf("size = %.1f", 0.2+0.8*d.rng.Float64()))
 	case "replace":
 		d.add(kind, target, at, key("every", 500*time.Millisecond))
 	default:
--- a/internal/lab/soak/draw_test.go
+++ b/internal/lab/soak/draw_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -42,3 +43,25 @@
 		}
 	}
 }
+
+// The seeds that CI plays draw repeated answers in two of them at least, and a crowd of idle
+// connections beside signals in one.
+func TestSeedsOfCIDrawRareFaults(t *testing.T) {
+	const lastSeed, duration = 9, 20 * time.Second // as in .ci/run
+	repeated, crowded := 0, 0
+	for seed := uint64(1); seed <= lastSeed; seed++ {
+		text := Draw(seed, duration).Text()
+		if strings.Contains(text, `kind = "repeated"`) {
+			repeated++
+		}
+		if crowd.MatchString(text) {
+			crowded++
+		}
+	}
+	if repeated < 2 || crowded < 1 {
+		t.Errorf("%d of the seeds repeat answers and %d have a crowd beside signals, want 2 and 1", repeated, crowded)
+	}
+}
+
+// crowd matches a flood that is drawn with a series of signals: they follow each other.
+var crowd = regexp.MustCompile(`kind = "flood".*\n.*\n.*\n.*\n.*\n\[\[fault\]\]\n.*\nkind = "signals"`)
