Lab: a server that another fault has started again is no failed injection

A kill for 3.9 s and a replacement overlap on this server, and the replacement started it 1.7 s before the kill's end. Drawn faults overlap on purpose; this says nothing of the agent.

Changes: the start at the end of a fault accepts that the server runs.

Run: TestOverlappingFaultsOfAServer fails without the change (fault killed could not be injected: server s-01: it runs already) and passes with it.

--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Two faults that overlap may both start a server again: the second finds it running.
+func TestOverlappingFaultsOfAServer(t *testing.T) {
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(fmt.Sprintf(smallExperiment, exe, "honest"), `duration = "9s"`, `duration = "5s"`, 1)
+	text += "[[fault]]\nname = \"killed\"\nkind = \"kill\"\ntarget = \"s-01\"\nat = \"1s\"\nfor = \"3500ms\"\n"
+	for _, violation := range runExperiment(t, text).Violations {
+		if strings.Contains(violation, "could not be injected") {
+			t.Error(violation)
+		}
+	}
+}
+
 // Two runs with one seed inject the same faults at the same times into the same targets, and send
 // the same requests; a run with another seed does not.
 func TestSeedDeterminesFaultsAndRequests(t *testing.T) {
--- a/internal/lab/experiment/faults.go
+++ b/internal/lab/experiment/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -81,7 +82,8 @@
 	return nil
 }
 
-// restartServer starts a server with the version that the fault names, or else its last one.
+// restartServer starts a server with the version that the fault names, or else its last one. If another
+// fault that overlaps this one has started it already, it stays as it is.
 func (fl *fleet) restartServer(srv *server.Server, f *Fault) error {
 	version := server.Version{Name: srv.VersionName()}
 	for _, name := range []string{version.Name, f.Version} {
@@ -89,7 +91,10 @@
 			version = *named
 		}
 	}
-	return srv.Start(version, true)
+	if err := srv.Start(version, true); !errors.Is(err, server.ErrAlreadyRunning) {
+		return err
+	}
+	return nil
 }
 
 // replaceServer drains a server for as long as a request may take, ends it, and starts it again.
--- a/internal/lab/server/process.go
+++ b/internal/lab/server/process.go
@@ -13,8 +13,8 @@
 // started. The other values are those of the endpoint list.
 const healthStarting = ""
 
-// errAlreadyRunning is returned by Start while there is a process.
-var errAlreadyRunning = errors.New("it runs already")
+// ErrAlreadyRunning is the error of Start while there is a process that is ready or drains.
+var ErrAlreadyRunning = errors.New("it runs already")
 
 // Start starts a process of the version. A cold one starts now and warms up; any other one counts
 // as started long ago. It returns an error if the server is ready or draining, or can't listen.
@@ -49,13 +49,13 @@
 }
 
 // beginIncarnation sets up the state of a new process and returns its number. cancel ends what
-// runs in the process's context. It returns errAlreadyRunning if the server is ready or draining.
+// runs in the process's context. It returns ErrAlreadyRunning if the server is ready or draining.
 func (s *Server) beginIncarnation(version Version, cold bool, cancel context.CancelFunc) (int, error) {
 	now := s.env.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if isServing(s.health) {
-		return 0, errAlreadyRunning
+		return 0, ErrAlreadyRunning
 	}
 	s.incarnation++
 	s.cancelIncarnation = cancel
