--- a/internal/agent/lateanswerorder_test.go
+++ b/internal/agent/lateanswerorder_test.go
@@ -230,9 +230,9 @@
 	return tr
 }
 
-// heldTransport returns the same, with the first connection held up at a step until the next request
+// delayedTransport returns the same, with the first connection held up at a step until the next request
 // was written on it, but for no longer than a busy machine holds the agent up.
-func heldTransport(t *testing.T, answerBytes int, held connStep) *backendTransport {
+func delayedTransport(t *testing.T, answerBytes int, delayed connStep) *backendTransport {
 	t.Helper()
 	written := make(chan struct{})
 	release := sync.OnceFunc(func() { close(written) })
@@ -241,7 +241,7 @@
 		switch step {
 		case stepWritten:
 			release()
-		case held:
+		case delayed:
 			select {
 			case <-written:
 			case <-time.After(maxHoldUp):
@@ -275,10 +275,10 @@
 // A second answer that arrives before the checkout for the next request is not its answer, however far
 // the goroutine that reads the idle connection has come: it may be held up.
 func TestSecondAnswerBeforeTheNextRequest(t *testing.T) {
-	for name, held := range map[string]connStep{"unread": stepRead, "read, not scanned": stepHasRead, "scanned": stepNone} {
+	for name, delayed := range map[string]connStep{"unread": stepRead, "read, not scanned": stepHasRead, "scanned": stepNone} {
 		for _, rest := range []time.Duration{0, longRest} {
 			forEachStray(t, fmt.Sprint(name, "/", rest), func(t *testing.T, s *twiceAnswering, method string) {
-				tr := heldTransport(t, len(s.first), held)
+				tr := delayedTransport(t, len(s.first), delayed)
 				requireFirst(t, s, tr, method)
 				s.sendStray()
 				time.Sleep(rest)
@@ -304,13 +304,13 @@
 	}
 }
 
-// heldContext is a context that holds up the call in which an attempt is bound to its connection.
-type heldContext struct {
+// delayedContext is a context that holds up the call in which an attempt is bound to its connection.
+type delayedContext struct {
 	context.Context
 	deadlineRead func()
 }
 
-func (c heldContext) Deadline() (time.Time, bool) {
+func (c delayedContext) Deadline() (time.Time, bool) {
 	c.deadlineRead()
 	return c.Context.Deadline()
 }
@@ -318,13 +318,13 @@
 // A second answer that arrives while the agent is held up between the checkout of a connection and the
 // first byte is not the answer, whether or not the connection is read meanwhile.
 func TestSecondAnswerBetweenCheckoutAndFirstByte(t *testing.T) {
-	for name, held := range map[string]connStep{"unread": stepRead, "read": stepNone} {
+	for name, delayed := range map[string]connStep{"unread": stepRead, "read": stepNone} {
 		forEachStray(t, name, func(t *testing.T, s *twiceAnswering, method string) {
-			tr := heldTransport(t, len(s.first), held)
+			tr := delayedTransport(t, len(s.first), delayed)
 			requireFirst(t, s, tr, method)
 			a := s.attempt(tr, method, "second")
 			var calls atomic.Int32
-			a.ctx = heldContext{a.ctx, func() {
+			a.ctx = delayedContext{a.ctx, func() {
 				if calls.Add(1) == 2 { // the first one is before the checkout
 					s.sendStray()
 				}
@@ -411,7 +411,7 @@
 			long := idAnswer(strings.Repeat("y", size))
 			s := &twiceAnswering{first: long + straySized}
 			s.start(t)
-			tr := heldTransport(t, len(long), stepRead)
+			tr := delayedTransport(t, len(long), stepRead)
 			s.attempt(tr, http.MethodGet, "first").run()
 			s.requireOwn(t, "second", s.attempt(tr, http.MethodGet, "second").run())
 		})
--- a/internal/agent/reusedelay_test.go
+++ b/internal/agent/reusedelay_test.go
@@ -79,14 +79,7 @@
 
 // The agent's wait for a reuse delay is no time that the server took.
 func TestReuseDelayIsNotTheServersLatency(t *testing.T) {
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		for {
-			if _, err := readRequest(r); err != nil {
-				return
-			}
-			io.WriteString(c, okAnswer)
-		}
-	})
+	addr, _ := keepAliveBackend(t)
 	tr := newDialer().newTransport()
 	defer tr.CloseIdleConnections()
 	const delay = 500 * time.Millisecond
@@ -101,12 +94,7 @@
 
 // An attempt that ended in the reuse delay of its connection says nothing of the server.
 func TestEndInReuseDelayIsLocal(t *testing.T) {
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		if _, err := readRequest(r); err == nil {
-			io.WriteString(c, okAnswer)
-			readRequest(r)
-		}
-	})
+	addr, _ := keepAliveBackend(t)
 	tr := newDialer().newTransport()
 	defer tr.CloseIdleConnections()
 	if res := newAttempt(tr, addr, http.MethodPost, noTimeout).run(); res.status != policy.OK {
--- a/internal/agent/reuseorder_test.go
+++ b/internal/agent/reuseorder_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,17 +28,10 @@
 
 // An attempt waits for the reuse delay of an idle connection, and does not open one more.
 func TestReuseDelayIsWaitedFor(t *testing.T) {
-	var connections atomic.Int64
-	addr := rawBackend(t, func(c net.Conn, r *bufio.Reader) {
-		connections.Add(1)
-		for {
-			if _, err := readRequest(r); err != nil {
-				return
-			}
-			io.WriteString(c, okAnswer)
-		}
-	})
-	tr := newDialer().newTransport()
+	addr, _ := keepAliveBackend(t)
+	d := newDialer()
+	connections := countDials(d)
+	tr := d.newTransport()
 	defer tr.CloseIdleConnections()
 	for range 3 {
 		a := newAttempt(tr, addr, http.MethodPost, noTimeout)
@@ -48,8 +40,8 @@
 			t.Fatalf("ended %d", res.status)
 		}
 	}
-	if n := connections.Load(); n != 1 {
-		t.Errorf("%d connections", n)
+	if *connections != 1 {
+		t.Errorf("%d connections", *connections)
 	}
 }
 
--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -18,9 +18,9 @@
 	// hangShare is the part of the series of signals during which servers hang, so that requests are in
 	// flight for long.
 	hangShare = 0.7
-	// crowdShare is the part of the series of signals during which idle connections fill the agent's
+	// idleClientsShare is the part of the series of signals during which idle connections fill the agent's
 	// descriptors.
-	crowdShare = 0.3
+	idleClientsShare = 0.3
 	// firstFaultAt is when faults begin in other seeds, at the earliest.
 	firstFaultAt = 2 * time.Second
 	// processFaultPeriod is the time from one fault of an agent's process to the next: a termination and
@@ -171,7 +171,7 @@
 			if d.stewards > 0 {
 				from = terminations
 			}
-			if d.draw(crowdShare) {
+			if d.draw(idleClientsShare) {
 				d.add("flood", target, at-d.millis(100, 800), key("for", d.millis(1000, 5000)), fmt.Sprintf("size = %d.0", d.sockets))
 			}
 			d.add("signals", target, at, key("every", d.millis(0, 400)), "signals = "+pick(d.rng, from...))
--- a/internal/lab/soak/draw_test.go
+++ b/internal/lab/soak/draw_test.go
@@ -48,20 +48,20 @@
 // connections beside signals in one.
 func TestSeedsOfCIDrawRareFaults(t *testing.T) {
 	const lastSeed, duration = 9, 20 * time.Second // as in .ci/run
-	repeated, crowded := 0, 0
+	repeated, flooded := 0, 0
 	for seed := uint64(1); seed <= lastSeed; seed++ {
 		text := Draw(seed, duration).Text()
 		if strings.Contains(text, `kind = "repeated"`) {
 			repeated++
 		}
-		if crowd.MatchString(text) {
-			crowded++
+		if floodBesideSignals.MatchString(text) {
+			flooded++
 		}
 	}
-	if repeated < 2 || crowded < 1 {
-		t.Errorf("%d of the seeds repeat answers and %d have a crowd beside signals, want 2 and 1", repeated, crowded)
+	if repeated < 2 || flooded < 1 {
+		t.Errorf("%d of the seeds repeat answers and %d have a crowd beside signals, want 2 and 1", repeated, flooded)
 	}
 }
 
-// crowd matches a flood that is drawn with a series of signals: they follow each other.
-var crowd = regexp.MustCompile(`kind = "flood".*\n.*\n.*\n.*\n.*\n\[\[fault\]\]\n.*\nkind = "signals"`)
+// floodBesideSignals matches a flood that is drawn with a series of signals: they follow each other.
+var floodBesideSignals = regexp.MustCompile(`kind = "flood".*\n.*\n.*\n.*\n.*\n\[\[fault\]\]\n.*\nkind = "signals"`)
