Review case 2: two workers hold a leased task after a restore

Seen: after the operator has restored a saved state, a worker goes on with a leased task that the state does not have, and its renewals are answered. Once the task is defined again, another worker gets it, and both act under it.

Cause, as far as known: a restore puts back the sessions with their old revisions. The counter of revisions is raised, the sessions' revisions are not, so a process never hears that its assignments were replaced; a renewal asks for the session only.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,7 +25,8 @@
 
 // cases holds the cases by name. Each returns how the rule was broken, or "" if it held.
 var cases = map[string]func(*run) (broken string, err error){
-	"erased": playErased,
+	"erased":  playErased,
+	"holders": playHolders,
 }
 
 func main() { os.Exit(play()) }
