Review case 3: unfinished requests with long heads exceed the agent's memory

Seen: 200 peers that each send one head of 60 kB with many short fields and no body take an agent of 64 MB and 512 descriptors over its limit of memory within two seconds; the platform's stand-in then kills it, and requests that were taken stay unanswered.

Cause, as far as known: each client connection may send a head of 64 KiB, which takes about ten times as much once it is parsed and is kept until the body is given up; nothing bounds the sum.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(*run) (broken string, err error){
 	"erased":  playErased,
 	"holders": playHolders,
+	"heads":   playHeads,
 }
 
 func main() { os.Exit(play()) }
