review: case 10 sends the unanswered votes once more

Seen: after the agent has ended the connection, the votes that it had read are sent once more on a new one, as a client does with a request that crosses the close; each is refused, as the agent listens no more.

--- a/review/rig2/pipeline.go
+++ b/review/rig2/pipeline.go
@@ -26,11 +26,13 @@
 	}
 	defer c.conn.Close()
 	var ids []string
+	texts := map[string]string{}
 	var text strings.Builder
 	for i := range 4 {
 		id := newID()
 		ids = append(ids, id)
-		text.WriteString(vote(id, fmt.Sprintf("u%d", i), "key-"+id, 6*time.Second, 200))
+		texts[id] = vote(id, fmt.Sprintf("u%d", i), "key-"+id, 6*time.Second, 200)
+		text.WriteString(texts[id])
 	}
 	if err := c.write(text.String()); err != nil {
 		r.cannot("write: %v", err)
@@ -41,17 +43,26 @@
 	if r.trouble {
 		a.signal(syscall.SIGTERM)
 	}
-	lost := false
+	closed := false
 	for _, id := range ids {
-		if lost {
-			r.breaks("id %s: taken before SIGTERM, never answered", id)
-			continue
+		var got reply
+		if !closed {
+			got = c.answer(sent.Add(6500 * time.Millisecond))
+			r.say("client: id %s: %v", id, got)
+			closed = got.err != nil
+		}
+		if closed { // the agent has ended the connection: once more, on a new one
+			again, err := r.dial(a)
+			if err != nil {
+				got.err = err
+			} else {
+				got = again.ask(texts[id], time.Until(sent.Add(6500*time.Millisecond)))
+				again.conn.Close()
+			}
+			r.say("client: id %s, sent once more on a new connection: %v", id, got)
 		}
-		got := c.answer(sent.Add(6500 * time.Millisecond))
-		r.say("client: id %s: %v", id, got)
 		if got.err != nil {
-			lost = true
-			r.breaks("id %s: taken before SIGTERM, never answered: %v", id, got.err)
+			r.breaks("id %s: taken before SIGTERM, never answered, also not on a new connection: %v", id, got.err)
 		}
 	}
 	if r.trouble && !a.waitEnd(8*time.Second) {
