--- a/review/rig2/shutdown.go
+++ b/review/rig2/shutdown.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -60,6 +61,11 @@
 				return
 			}
 			defer c.conn.Close()
+			if late := time.Since(termAt); late > 400*time.Millisecond {
+				r.say("client %d: connected only %.3f s after SIGTERM, sends nothing", i, late.Seconds())
+				results[i].wrote = errors.New("connected late")
+				return
+			}
 			time.Sleep(time.Until(termAt.Add(600 * time.Millisecond)))
 			results[i].wrote = c.write(read(id, fmt.Sprintf("key%d", i), longest))
 			results[i].sent = time.Now()
