Shut down only when no client connection is owed an answer

Cause: agent.Agent.shutdown waited for the longest deadline of the settings plus 0.1 s, counted from the end of the accept period (0.45 s). A connection that has carried no request stays open for 0.25 s more, so its request may end up to 0.15 s after that wait; one with a Request-Timeout above its class's deadline ends later still.

Change: the wait lasts until no connection is open. Each one ends by the timeouts of its last head, body, request and response, whose sum (maxShutdownWait) is the bound.

--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -34,6 +34,10 @@
 	writeTimeout = 2 * time.Second
 	// maxRequestTimeout is the longest timeout that a client may request, with a margin.
 	maxRequestTimeout = time.Minute
+	// maxShutdownWait limits the wait for the connections that are still open when no more are accepted. Each of
+	// them ends by its own timeouts before that: those of the head and body of its last request, of the request,
+	// and of its response.
+	maxShutdownWait = minUnusedBeforeEviction + headTimeout + bodyTimeout + maxRequestTimeout + writeTimeout + lingerTimeout
 )
 
 // backendSockets returns how many of the process's sockets are for connections to backends.
@@ -127,22 +131,19 @@
 
 // shutdown shuts the agent down gracefully. Clients go on connecting for a while after the signal. It
 // closes idle connections first, so that a client whose request crosses the close can still send it on a
-// new connection; then it calls stopAccepting; then all requests in flight are answered.
+// new connection; then it calls stopAccepting; then it waits until no connection is open, so that each request
+// that was read is answered, however late it was read.
 func (a *Agent) shutdown(stopAccepting func()) {
 	a.draining.Store(true)
 	a.loop.post(event{kind: eventShutdown})
 	a.clients.drain()
 	time.Sleep(shutdownAcceptPeriod)
 	stopAccepting()
-	maxDeadlineMs := 0.0
-	for _, c := range a.config.Settings.Classes {
-		maxDeadlineMs = max(maxDeadlineMs, c.DeadlineMs)
-	}
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
-	deadline := time.Now().Add(milliseconds(maxDeadlineMs) + 100*time.Millisecond)
+	deadline := time.Now().Add(maxShutdownWait)
 	for a.clients.closeUnused(minUnusedBeforeEviction) > 0 && time.Now().Before(deadline) {
 		<-ticker.C
 	}
-	a.clients.abort() // the rest is past its deadline or never sent a request
+	a.clients.abort()
 }
