Answer the pipelined requests that were read before their connection ends

Cause: the answer announced the end of the connection as soon as the agent was draining, or its connections nearly full, whatever had been read ahead; halfClose and the eviction of idle connections could also drop bytes that a read had just returned.

Change: a read and the decision to read no more are one step each (clientInput). An answer announces the end only if no byte of a further request was read, and none is read after that. Once the accept period is over, nothing is read behind a request that has begun, so a client that always sends ahead does not keep its connection. On a connection that is due to end because connections are short, requests read ahead are served for 0.25 s and rejected after that.

TestMisbehavingClientsAreContained asked that a client which sends 200 valid requests at once is disconnected within 6 s, which the agent did by dropping what it had read. That client now has to get 200 or 503 to each request, or an announced end, and then the end of the connection; before, any close passed.

--- a/internal/agent/clientclose.go
+++ b/internal/agent/clientclose.go
@@ -42,10 +42,10 @@
 	_, _ = io.WriteString(c.Conn, response)
 }
 
-// halfClose ends the agent's side of an idle connection; the reader of the connection then lingers.
-// The lock must be held.
+// halfClose ends the agent's side of an idle connection, unless bytes of a request were just read; the reader of the
+// connection then lingers. The lock must be held.
 func (c *clientConn) halfClose() {
-	if c.stage == connIdle {
+	if c.stage == connIdle && c.input.end(inputClosed) {
 		c.owner.logClosed(c, reasonShutdown)
 		c.stage = connClosing
 		c.shutdownWrite()
--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -17,6 +17,7 @@
 	owner      *clientConns
 	head       requestHead
 	pending    *headBuffer
+	input      clientInput
 	handling   atomic.Bool  // the handler runs, or has ended and net/http has not gone on to the next request
 	bodyLeft   atomic.Int64 // bytes of the current body that net/http has not read; -1: unknown
 	admittedAt time.Time    // when the connection got its slot
@@ -34,6 +35,8 @@
 	pipelined        bool      // a byte arrived after the current request
 	lastArrivedAt    time.Time // earliest possible arrival of the bytes that receive returned last; not guarded
 	readAhead        readAheadState
+	dueToEndSince    time.Time   // when connections were short, so that this one ends; zero: it may stay open
+	overdue          atomic.Bool // since dueToEndSince, maxPipelineOvertime has passed: further requests are rejected
 
 	canceled chan struct{} // closed when readAhead detects a disconnect
 	ended    chan struct{} // closed when the connection is evicted or aborted
@@ -73,9 +76,10 @@
 	startedAt := time.Now()
 	queued := c.wasQueued(startedAt)
 	pending := queued && mayBeReadable(c.Conn)
-	n, err = c.Conn.Read(p)
+	n, err = c.input.read(c.Conn, p, func() readScope { return c.readScope(len(p)) })
 	c.owner.mu.Lock()
-	c.peerEnded = c.peerEnded || err != nil && !os.IsTimeout(err)
+	defer c.input.recorded()
+	c.peerEnded = c.peerEnded || err != nil && err != net.ErrClosed && !os.IsTimeout(err)
 	if c.stage == connClosing {
 		c.lingeredBytes += n
 		c.owner.mu.Unlock()
@@ -173,11 +177,45 @@
 	}
 	c.answered, c.pipelined, c.readAhead.sealed = true, false, false
 	c.setStage(connIdle)
+	if arrivedAt, arrived := c.nextArrival(); arrived {
+		c.beginRequest(arrivedAt)
+		return
+	}
 	if c.owner.draining {
 		c.halfClose()
 	}
 }
 
+// nextArrival returns when the first byte after the current request arrived, if one was read. The lock must be held.
+func (c *clientConn) nextArrival() (arrivedAt time.Time, arrived bool) {
+	switch {
+	case !c.nextArrivedAt.IsZero():
+		return c.nextArrivedAt, true
+	case len(c.readAhead.chunks) > 0:
+		return c.readAhead.chunks[0].arrivedAt, true
+	}
+	return time.Time{}, false
+}
+
+// endsSoon reports whether the connection ends after the requests that it has begun to read.
+func (c *clientConn) endsSoon() bool { return c.owner.ending.Load() || c.overdue.Load() }
+
+// readScope returns what a read with a buffer of size bytes may read. When connections end after the requests that
+// they have begun to read, such a request is read to its end and nothing behind it: a client that always sends the
+// next request would otherwise keep its connection open for ever.
+func (c *clientConn) readScope(size int) readScope {
+	if !c.endsSoon() {
+		return readScope{}
+	}
+	if !c.handling.Load() {
+		return readScope{maxBytes: 1} // the head: only its last byte shows where it ends
+	}
+	if size == 1 {
+		return readScope{endOnly: true} // net/http waits for a disconnect
+	}
+	return readScope{maxBytes: int(max(c.bodyLeft.Load(), 0))}
+}
+
 // disconnected reports whether the client has closed its connection. It asks the operating system,
 // because the request and the end of the client's side may have been queued there for a long time.
 func (c *clientConn) disconnected() bool {
--- a/internal/agent/clientconns.go
+++ b/internal/agent/clientconns.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,6 +52,7 @@
 	conns     map[*clientConn]struct{}
 	slotFreed chan struct{} // notified when a connection releases its slot; buffer of one
 	draining  bool
+	ending    atomic.Bool // no byte is read of a request that has not begun to arrive
 	// readAheadBytes is the memory, in bytes, of what all connections have read ahead and keep.
 	readAheadBytes int
 	budgets        *memoryBudgets
@@ -76,7 +78,7 @@
 // waits until one can be evicted or is closed. If done is closed meanwhile, admit closes raw and
 // returns nil.
 func (cs *clientConns) admit(raw net.Conn, done <-chan struct{}) *clientConn {
-	c := &clientConn{Conn: raw, owner: cs, stageSince: time.Now(), canceled: make(chan struct{}), ended: make(chan struct{})}
+	c := &clientConn{Conn: raw, owner: cs, input: newClientInput(raw), stageSince: time.Now(), canceled: make(chan struct{}), ended: make(chan struct{})}
 	c.pending = newHeadBuffer(cs.budgets.requests, cs.budgets.parsing, c.evict)
 	for {
 		cs.mu.Lock()
@@ -141,7 +143,7 @@
 			}
 		}
 	}
-	if victim != nil {
+	if victim != nil && (victim.stage != connIdle || victim.input.end(inputClosed)) {
 		closeReason := reasonIdleEvicted
 		if victim.stage == connReading {
 			closeReason = reasonSlowEvicted
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -36,7 +36,7 @@
 	}
 	if client != nil && client.head.ambiguous(httpRequest.ProtoAtLeast(1, 1)) {
 		w.Header().Set("Connection", "close")
-		a.writeResponse(w, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
+		a.writeResponse(w, client, http.StatusBadRequest, "text/plain", []byte("body: more than one length\n"))
 		return
 	}
 	if len(httpRequest.TransferEncoding) > 0 {
@@ -45,7 +45,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if httpRequest.URL.Path == "/ready" {
-		a.serveReady(w)
+		a.serveReady(w, client)
 		return
 	}
 	a.serveRequest(w, httpRequest, fields, client, arrivedAt)
@@ -58,7 +58,7 @@
 	answered := false
 	defer func() {
 		if p := recover(); p != nil {
-			a.handlePanic(w, p, r, answered)
+			a.handlePanic(w, p, r, client, answered)
 		}
 	}()
 	r, reqErr := a.readRequest(httpRequest, fields, arrivedAt)
@@ -70,10 +70,15 @@
 	if reqErr != nil {
 		answered = true
 		w.Header().Set("Connection", "close") // frees the slot for clients that send valid requests
-		a.writeResponse(w, reqErr.status, "text/plain", []byte(reqErr.text+"\n"))
+		a.writeResponse(w, client, reqErr.status, "text/plain", []byte(reqErr.text+"\n"))
 		return
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if client != nil && client.overdue.Load() {
+		answered = true
+		a.writeResponse(w, client, http.StatusServiceUnavailable, "", nil)
+		return
+	}
 	var canceled chan struct{}
 	if r.client = client; client != nil {
 		if !r.memory.pin() || !client.acceptRequest() {
@@ -95,10 +100,9 @@
 	case <-canceled:
 	case <-guardTimer.C:
 		answered = true
-		a.setCloseIfTruncated(w, client)
 		r.abandoned.Store(true)
 		a.log.Debug("request answered", "request_id", r.wireID, "reason", reasonDeadline)
-		a.writeResponse(w, http.StatusGatewayTimeout, "", nil)
+		a.writeResponse(w, client, http.StatusGatewayTimeout, "", nil)
 		a.loop.post(event{kind: eventClientCanceled, req: r})
 		return
 	}
@@ -112,7 +116,7 @@
 
 // handlePanic is called with the value of a recovered panic. It answers the request and removes its state
 // from the balancer.
-func (a *Agent) handlePanic(w http.ResponseWriter, p any, r *request, answered bool) {
+func (a *Agent) handlePanic(w http.ResponseWriter, p any, r *request, client *clientConn, answered bool) {
 	if p == http.ErrAbortHandler {
 		panic(p) // closes the connection without a response, as intended
 	}
@@ -122,18 +126,18 @@
 	}
 	if !answered {
 		w.Header().Set("Connection", "close")
-		a.writeResponse(w, http.StatusInternalServerError, "", nil)
+		a.writeResponse(w, client, http.StatusInternalServerError, "", nil)
 	}
 }
 
 // serveReady answers the readiness probe.
-func (a *Agent) serveReady(w http.ResponseWriter) {
+func (a *Agent) serveReady(w http.ResponseWriter, client *clientConn) {
 	late := time.Since(a.loop.startedAt) >= readyDeadline
 	if a.draining.Load() || !a.loop.hasUsableBackend.Load() && !late {
-		a.writeResponse(w, http.StatusServiceUnavailable, "text/plain", []byte("no backend to send to\n"))
+		a.writeResponse(w, client, http.StatusServiceUnavailable, "text/plain", []byte("no backend to send to\n"))
 		return
 	}
-	a.writeResponse(w, http.StatusOK, "", nil)
+	a.writeResponse(w, client, http.StatusOK, "", nil)
 }
 
 // readRequest reads a client's request with its body. It returns a requestError if the request is
@@ -208,35 +212,27 @@
 
 // writeAnswer writes the response for a final answer.
 func (a *Agent) writeAnswer(w http.ResponseWriter, r *request, ans answer) {
-	a.setCloseIfTruncated(w, r.client)
 	switch ans.status {
 	case policy.OK:
-		a.writeResponse(w, http.StatusOK, ans.contentType, ans.body)
+		a.writeResponse(w, r.client, http.StatusOK, ans.contentType, ans.body)
 	case policy.Full:
 		if ans.retryAfter > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(ans.retryAfter.Seconds(), 'f', -1, 64))
 		}
-		a.writeResponse(w, http.StatusServiceUnavailable, "", nil)
+		a.writeResponse(w, r.client, http.StatusServiceUnavailable, "", nil)
 	default:
-		a.writeResponse(w, http.StatusBadGateway, "", nil)
-	}
-}
-
-// setCloseIfTruncated sets "Connection: close" in the response that is about to be written if bytes after
-// the current request were dropped, so that no further request can be read. After the call, no more
-// bytes are dropped. client is nil in tests without a connection.
-func (a *Agent) setCloseIfTruncated(w http.ResponseWriter, client *clientConn) {
-	if client != nil && !client.sealReadAhead() {
-		w.Header().Set("Connection", "close")
+		a.writeResponse(w, r.client, http.StatusBadGateway, "", nil)
 	}
 }
 
-// writeResponse writes a response. The connection is closed after it if the agent shuts down, or if
-// the client connections are nearly full, so that idle connections don't keep other clients
-// waiting.
-func (a *Agent) writeResponse(w http.ResponseWriter, status int, contentType string, body []byte) {
+// writeResponse writes a response. It announces the end of the connection if no further request may be read: bytes
+// after the current request were dropped; or, if no byte of a further request was read, if the agent shuts down or the
+// client connections are nearly full, so that idle connections don't keep other clients waiting. client is nil in
+// tests without a connection.
+func (a *Agent) writeResponse(w http.ResponseWriter, client *clientConn, status int, contentType string, body []byte) {
 	h := w.Header()
-	if a.draining.Load() || a.clients.nearlyFull() {
+	toEnd := a.draining.Load() || a.clients.nearlyFull()
+	if client == nil && toEnd || client != nil && !client.sealReadAhead(toEnd) {
 		h.Set("Connection", "close")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/agent/misbehavingclient_test.go
+++ b/internal/agent/misbehavingclient_test.go
@@ -156,7 +156,6 @@
 	{"half a head", func(c net.Conn) { io.WriteString(c, misbehavingHead[:30]) }},
 	{"half a body", func(c net.Conn) { io.WriteString(c, misbehavingHead+"Content-Length: 65536\r\n\r\nxx") }},
 	{"a head without end", func(c net.Conn) { writeRepeatedly(c, "X: "+strings.Repeat("x", 1<<10)+"\r\n", 1<<10) }},
-	{"many requests at once", func(c net.Conn) { writeRepeatedly(c, requestText("many"), 200) }},
 	{"disconnects within a request", func(c net.Conn) {
 		io.WriteString(c, requestText("gone")+requestText("gone")[:40])
 		c.Close()
@@ -203,6 +202,35 @@
 	}
 }
 
+// checkAnswersManyAtOnce sends many valid requests at once and checks that each is served or rejected, unless an answer
+// announces the end of the connection, and that the connection then ends.
+func checkAnswersManyAtOnce(t *testing.T, base string) {
+	t.Helper()
+	const count = 200
+	c, r := dialAgent(t, base)
+	c.SetReadDeadline(time.Now().Add(testTimeout))
+	go writeRepeatedly(c, requestText("many"), count)
+	for answered := range count {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil && answered == 0 && !os.IsTimeout(err) {
+			return // evicted unread for a waiting connection: the client may send the requests again
+		}
+		if err != nil {
+			t.Errorf("many requests at once: %v after %d answers, none of which announced it", err, answered)
+			return
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("many requests at once: answer %d: %d, %v", answered, resp.StatusCode, err)
+		}
+		if resp.Close {
+			break
+		}
+	}
+	if _, err := r.ReadByte(); os.IsTimeout(err) {
+		t.Errorf("many requests at once: the connection did not end within %v", testTimeout)
+	}
+}
+
 // checkServesWellBehaved sends a request on a new connection and checks that it is served in time.
 func checkServesWellBehaved(t *testing.T, base string) {
 	t.Helper()
@@ -225,9 +253,9 @@
 	return int64(stats.HeapAlloc)
 }
 
-// With many misbehaving clients (silent, slow, huge, sending too much at once, or disconnecting early), each
-// of them is disconnected within 6 s (3 s plus the wait in the accept queue), a well-behaved one is served
-// within 3 s, and all resources are released.
+// With many misbehaving clients (silent, slow, huge, or disconnecting early), each of them is disconnected within 6 s
+// (3 s plus the wait in the accept queue), a well-behaved one is served within 3 s, one that sends many valid requests
+// at once is answered all that were read, and all resources are released.
 func TestMisbehavingClientsAreContained(t *testing.T) {
 	// Thousands of requests arrive; countingBackend would block, as nothing receives their identifiers.
 	addr := respondingBackend(t, 200, false, func(string) {})
@@ -244,6 +272,9 @@
 	for i := range 300 {
 		m := misbehaviors[i%len(misbehaviors)]
 		misbehaving.Go(func() { checkDisconnectsMisbehaving(t, base, m.name, m.act) })
+		if i%len(misbehaviors) == 0 {
+			misbehaving.Go(func() { checkAnswersManyAtOnce(t, base) })
+		}
 	}
 	for range 20 {
 		checkServesWellBehaved(t, base)
--- a/internal/agent/pipelining_test.go
+++ b/internal/agent/pipelining_test.go
@@ -71,6 +71,13 @@
 
 // startPipeline starts an agent with a backend whose first answer takes firstDelay, and connects to the agent.
 func startPipeline(t *testing.T, firstDelay time.Duration) (a *Agent, b *pipelineBackend, c net.Conn, r *bufio.Reader) {
+	t.Helper()
+	a, b, _, c, r = startPipelineToStop(t, firstDelay)
+	return a, b, c, r
+}
+
+// startPipelineToStop is startPipeline for a test that shuts the agent down with stop.
+func startPipelineToStop(t *testing.T, firstDelay time.Duration) (a *Agent, b *pipelineBackend, stop func(), c net.Conn, r *bufio.Reader) {
 	t.Helper()
 	b = &pipelineBackend{firstDelay: firstDelay}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -80,9 +87,9 @@
 	server := &http.Server{Handler: b}
 	go server.Serve(ln)
 	t.Cleanup(func() { server.Close() })
-	a, base, _, _ := startAgent(t, testConfig(unreachableAddr, ln.Addr().String()))
+	a, base, stop, _ := startAgent(t, testConfig(unreachableAddr, ln.Addr().String()))
 	c, r = dialAgent(t, base)
-	return a, b, c, r
+	return a, b, stop, c, r
 }
 
 // readPipelinedAnswers reads the answers to requests until one announces the close of the connection. It
@@ -289,7 +296,7 @@
 	over := client.keepReadAhead(make([]byte, 1))
 	left := a.clients.readAheadBytes
 	a.clients.mu.Unlock()
-	if !buffered || over || left != maxReadAheadTotal-1000 || client.sealReadAhead() {
+	if !buffered || over || left != maxReadAheadTotal-1000 || client.sealReadAhead(false) {
 		t.Errorf("buffered within the bound: %v, beyond it: %v; %d bytes counted", buffered, over, left)
 	}
 }
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -14,6 +14,9 @@
 	// discardPause, so that a client that never stops sending takes little processor time.
 	discardedPerPause = 256 << 10
 	discardPause      = 5 * time.Millisecond
+	// maxPipelineOvertime is how long requests that were read ahead are served on a connection that is due to end
+	// because connections are short. Those after that are rejected, so that their client soon frees its slot.
+	maxPipelineOvertime = 250 * time.Millisecond
 	// maxChunkSpan limits the time between the arrivals of the first and the last byte of a chunk.
 	maxChunkSpan = 10 * time.Millisecond
 	// chunkOverhead is what a chunk takes besides its bytes.
@@ -112,12 +115,30 @@
 
 // sealReadAhead is called before the response to the current request is written. It reports whether
 // another request may follow on the connection: no byte after the current one was dropped, and from now
-// on none will be.
-func (c *clientConn) sealReadAhead() (mayFollow bool) {
+// on none will be. If the connection is to end, no other request may follow unless bytes of one were read; from now on
+// none are.
+func (c *clientConn) sealReadAhead(toEnd bool) (mayFollow bool) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	c.readAhead.sealed = true
-	return !c.readAhead.truncated
+	if c.readAhead.truncated {
+		return false
+	}
+	c.recordDueToEnd(toEnd)
+	_, arrived := c.nextArrival()
+	return !toEnd && c.dueToEndSince.IsZero() || arrived || !c.input.end(inputSealed)
+}
+
+// recordDueToEnd notes since when the connection has been due to end for the sake of other clients. It stays so: it
+// ends with the requests that were read, of which the later ones are rejected. The lock must be held.
+func (c *clientConn) recordDueToEnd(toEnd bool) {
+	switch {
+	case c.owner.draining:
+	case toEnd && c.dueToEndSince.IsZero():
+		c.dueToEndSince = time.Now()
+	case !c.dueToEndSince.IsZero() && time.Since(c.dueToEndSince) > maxPipelineOvertime:
+		c.overdue.Store(true)
+	}
 }
 
 // recordRead is called after each read with the number of bytes read, the size of the buffer and when
@@ -148,9 +169,10 @@
 	defer close(finished)
 	buf := make([]byte, readAheadSize)
 	for discarded := 0; ; {
-		n, err := c.Conn.Read(buf)
+		n, err := c.input.read(c.Conn, buf, func() readScope { return readScope{endOnly: c.endsSoon()} })
 		c.owner.mu.Lock()
 		buffered := c.keepReadAhead(buf[:n])
+		c.input.recorded()
 		sealed := c.readAhead.sealed
 		if err != nil && !os.IsTimeout(err) {
 			c.peerEnded, c.readAhead.err = true, err
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -139,6 +139,7 @@
 	a.clients.drain()
 	time.Sleep(shutdownAcceptPeriod)
 	stopAccepting()
+	a.clients.ending.Store(true)
 	ticker := time.NewTicker(10 * time.Millisecond)
 	defer ticker.Stop()
 	deadline := time.Now().Add(maxShutdownWait)
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -43,3 +44,87 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a shutdown that drops requests which were read together with the one in flight: all of them are
+// answered, and only the last answer announces the end of the connection.
+func TestShutdownAnswersPipelinedRequests(t *testing.T) {
+	const count = 4
+	var requests []pipelinedRequest
+	for i := range count {
+		requests = append(requests, newPipelinedRequest(i, bytes.Repeat([]byte("b"), 6000*(i%2)), 0))
+	}
+	a, b, stop, c, r := startPipelineToStop(t, 300*time.Millisecond)
+	for _, request := range requests {
+		if _, err := io.WriteString(c, request.text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitUntil(t, "the first request is forwarded", func() bool { return len(b.ids()) == 1 })
+	stop()
+	waitUntil(t, "the agent shuts down", a.draining.Load)
+	if answered := readPipelinedAnswers(t, r, requests); answered != count {
+		t.Errorf("%d of %d requests that were read before the shutdown were answered", answered, count)
+	}
+	checkForwarded(t, b, requests, count)
+}
+
+// Guards against a shutdown without end: a client that always has requests outstanding is answered all that were
+// read, and its connection ends.
+func TestShutdownEndsConnectionThatSendsAhead(t *testing.T) {
+	const outstanding, answeredBefore = 5, 10
+	_, b, stop, c, r := startPipelineToStop(t, 0)
+	sent := 0
+	send := func() error {
+		_, err := io.WriteString(c, newPipelinedRequest(sent, nil, 0).text)
+		sent++
+		return err
+	}
+	for range outstanding {
+		if err := send(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for answered := 1; ; answered++ {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("after %d answers: %v", answered, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("answer %d: %d, %v", answered, resp.StatusCode, err)
+		}
+		if answered == answeredBefore {
+			stop()
+		}
+		if resp.Close {
+			if forwarded := len(b.ids()); forwarded != answered || answered <= answeredBefore {
+				t.Errorf("%d requests were answered and %d forwarded", answered, forwarded)
+			}
+			return
+		}
+		_ = send() // fails once the agent has ended the connection
+	}
+}
+
+// Guards against requests that are dropped when connections are short: those that were read are answered before the
+// connection ends.
+func TestNearlyFullAgentAnswersPipelinedRequests(t *testing.T) {
+	const count = 3
+	var requests []pipelinedRequest
+	for i := range count {
+		requests = append(requests, newPipelinedRequest(i, nil, 0))
+	}
+	a, b, _, c, r := startPipelineToStop(t, 200*time.Millisecond)
+	for _, request := range requests {
+		if _, err := io.WriteString(c, request.text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitUntil(t, "the first request is forwarded", func() bool { return len(b.ids()) == 1 })
+	a.clients.mu.Lock()
+	a.clients.capacity = 1
+	a.clients.mu.Unlock()
+	if answered := readPipelinedAnswers(t, r, requests); answered != count {
+		t.Errorf("%d of %d requests were answered", answered, count)
+	}
+	checkForwarded(t, b, requests, count)
+}
