Fail an attempt whose response has framing that HTTP/1.1 does not allow

Change: it goes by RFC 9112, sections 5 to 7. A failed attempt now is: a version other than HTTP/1.x; a coding with HTTP/1.0, in a 1xx or 204, or beside a length; a length in a 1xx or 204, one that is no number, or two different ones; a framing field with blanks before its colon, with more of it on the next line, or in a trailer. Blanks before the status are skipped as net/http does, so that an interim response is recognized.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -22,7 +22,7 @@
 	errNoSockets             = errors.New("no socket available for a new connection")
 	errNotReusableYet        = errors.New("attempt timed out during the reuse delay of its connection")
 	errAttemptCanceled       = errors.New("attempt cancelled")
-	errTrailingBytes         = errors.New("response: trailing bytes, or an ambiguous end")
+	errTrailingBytes         = errors.New("response: trailing bytes, or framing that HTTP/1.1 does not allow")
 	errBackendDrained        = errors.New("backend draining, removed or replaced")
 	errClientCanceled        = errors.New("client no longer waits for the response")
 	errResponseBeforeRequest = errors.New("response before the request was sent completely")
--- a/internal/agent/responseframing.go
+++ b/internal/agent/responseframing.go
@@ -18,7 +18,7 @@
 	mu sync.Mutex
 	framingState
 	headSize         headSize // of the heads of the response, including those of interim responses
-	violated         bool     // bytes arrived after the end or before a request, or the end is ambiguous
+	violated         bool     // bytes arrived after the end or before a request, or HTTP/1.1 doesn't allow the framing
 	responseExpected bool     // a response has been expected before
 	unsolicited      bool     // bytes arrived after the end of a response
 }
@@ -29,7 +29,9 @@
 	section    section // part of the response that the line belongs to
 	statusSeen bool    // the status line was parsed
 	malformed  bool    // a line is not one of a head: net/http ends the response at it
+	http10     bool    // the response's version is HTTP/1.0
 	interim    bool    // the head is of a 1xx response: another head follows
+	noContent  bool    // the status is 204
 	bodyless   bool    // the status allows no body
 	hasLength  bool    // the head has a Content-Length
 	length     int     // the value of Content-Length
@@ -37,6 +39,8 @@
 	complete   bool    // all lines are parsed; only bytes of the body may follow
 	untilClose bool    // the body ends with the connection
 	remaining  int     // bytes of the body or chunk still to come
+	// framingField says that the last field was one that says where the body ends.
+	framingField bool
 }
 
 // section is the part of a response that a line belongs to.
@@ -145,43 +149,90 @@
 			f.remaining = int(n) + len("\r\n")
 		}
 	case sectionTrailer:
+		name, _, _ := strings.Cut(line, ":")
+		f.violated = f.violated || isFramingField(strings.TrimRight(name, " \t"))
 		f.complete = line == ""
 	}
 }
 
 // parseHeadLine parses one line of the head. It leaves the rejection of malformed lines to net/http.
 func (f *responseFraming) parseHeadLine(line string) {
-	name, value, isField := strings.Cut(line, ":")
 	switch {
 	case !f.statusSeen:
-		_, status, _ := strings.Cut(line, " ")
-		f.statusSeen, f.interim = true, strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
-		f.malformed = !strings.HasPrefix(line, "HTTP/")
-		f.bodyless = strings.HasPrefix(status, "204") || strings.HasPrefix(status, "304")
-	case line == "" && f.interim:
-		f.framingState = framingState{}
+		f.parseStatusLine(line)
 	case line == "":
-		f.violated = f.violated || f.hasLength && f.chunked // the end can be read in two ways
-		if f.chunked && !f.bodyless {
-			f.section = sectionChunkSize
-			return
-		}
-		f.complete = true
-		f.untilClose = !f.hasLength && !f.bodyless
-		if f.hasLength && !f.bodyless {
-			f.remaining = f.length
-		}
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		f.chunked = true
-	case strings.EqualFold(name, "Content-Length"):
-		n, _ := strconv.Atoi(strings.TrimSpace(value))
-		f.length, f.hasLength = max(n, 0), true
-	case !isField && len(line) < maxLinePrefix && line[0] != ' ' && line[0] != '\t':
+		f.endHead()
+	default:
+		f.parseField(line)
+	}
+}
+
+// parseStatusLine parses the status line. Blanks before the status are skipped, as net/http does.
+func (f *responseFraming) parseStatusLine(line string) {
+	f.statusSeen = true
+	version, status, _ := strings.Cut(line, " ")
+	status = strings.TrimLeft(status, " ")
+	f.malformed = !strings.HasPrefix(version, "HTTP/")
+	f.violated = f.violated || !f.malformed && !strings.HasPrefix(version, "HTTP/1.")
+	f.http10 = version == "HTTP/1.0"
+	f.interim = strings.HasPrefix(status, "1") && !strings.HasPrefix(status, "101")
+	f.noContent = strings.HasPrefix(status, "204")
+	f.bodyless = f.noContent || strings.HasPrefix(status, "304")
+}
+
+// parseField parses a line of the head that is neither the first nor the last. net/http takes a name with blanks
+// before its colon for another field, and a line that begins with a blank for more of the field before it.
+func (f *responseFraming) parseField(line string) {
+	name, value, isField := strings.Cut(line, ":")
+	if line[0] == ' ' || line[0] == '\t' {
+		f.violated = f.violated || f.framingField
+		return
+	}
+	if !isField && len(line) < maxLinePrefix {
 		f.malformed = true
+		return
+	}
+	bare := strings.TrimRight(name, " \t")
+	f.framingField = isFramingField(bare)
+	if !f.framingField {
+		return
+	}
+	f.violated = f.violated || bare != name || !isField
+	if !strings.EqualFold(bare, "Content-Length") {
+		f.chunked = true
+		return
+	}
+	length, err := strconv.ParseUint(strings.Trim(value, " \t"), 10, 31)
+	repeated := f.hasLength && int(length) != f.length
+	f.violated = f.violated || err != nil || repeated
+	f.length, f.hasLength = int(length), true
+}
+
+// isFramingField reports whether a header field says where the body ends.
+func isFramingField(name string) bool {
+	return strings.EqualFold(name, "Content-Length") || strings.EqualFold(name, "Transfer-Encoding")
+}
+
+// endHead is called at the end of a head. A head whose fields don't say in one way where the response ends, or say so
+// in a way that its version or its status doesn't allow, is a violation (RFC 9112, sections 6.1 to 6.3).
+func (f *responseFraming) endHead() {
+	contradictory := f.hasLength && f.chunked
+	notAllowed := f.chunked && f.http10 || (f.interim || f.noContent) && (f.hasLength || f.chunked)
+	f.violated = f.violated || contradictory || notAllowed
+	switch {
+	case f.interim:
+		f.framingState = framingState{}
+	case f.bodyless:
+		f.complete = true
+	case f.chunked:
+		f.section = sectionChunkSize
+	default:
+		f.complete, f.untilClose = true, !f.hasLength
+		f.remaining = f.length
 	}
 }
 
-// hasTrailingBytes reports whether bytes arrived after the response, or its end is ambiguous.
+// hasTrailingBytes reports whether bytes arrived after the response, or HTTP/1.1 doesn't allow its framing.
 func (f *responseFraming) hasTrailingBytes() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
