Reject requests read ahead on a connection that has to end for other clients

Cause: since pipelined requests are answered instead of dropped, a client that had sent 200 at once kept its slot, while connections were short, until all were served or 0.25 s had passed.

Change: once connections are short, requests that were read ahead are rejected with 503 at once, without an attempt: a final answer, after which the connection ends. A planned restart still serves them. A read that ended without bytes no longer counts as the begin of a request.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -35,8 +35,9 @@
 	pipelined        bool      // a byte arrived after the current request
 	lastArrivedAt    time.Time // earliest possible arrival of the bytes that receive returned last; not guarded
 	readAhead        readAheadState
-	dueToEndSince    time.Time   // when connections were short, so that this one ends; zero: it may stay open
-	overdue          atomic.Bool // since dueToEndSince, maxPipelineOvertime has passed: further requests are rejected
+	// shedding is set once the connection is due to end because connections are short: requests that were read ahead
+	// are rejected, so that it soon ends.
+	shedding atomic.Bool
 
 	canceled chan struct{} // closed when readAhead detects a disconnect
 	ended    chan struct{} // closed when the connection is evicted or aborted
@@ -198,7 +199,7 @@
 }
 
 // endsSoon reports whether the connection ends after the requests that it has begun to read.
-func (c *clientConn) endsSoon() bool { return c.owner.ending.Load() || c.overdue.Load() }
+func (c *clientConn) endsSoon() bool { return c.owner.ending.Load() || c.shedding.Load() }
 
 // readScope returns what a read with a buffer of size bytes may read. When connections end after the requests that
 // they have begun to read, such a request is read to its end and nothing behind it: a client that always sends the
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -74,7 +74,7 @@
 		return
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	if client != nil && client.overdue.Load() {
+	if client != nil && client.shedding.Load() {
 		answered = true
 		a.writeResponse(w, client, http.StatusServiceUnavailable, "", nil)
 		return
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -14,9 +14,6 @@
 	// discardPause, so that a client that never stops sending takes little processor time.
 	discardedPerPause = 256 << 10
 	discardPause      = 5 * time.Millisecond
-	// maxPipelineOvertime is how long requests that were read ahead are served on a connection that is due to end
-	// because connections are short. Those after that are rejected, so that their client soon frees its slot.
-	maxPipelineOvertime = 250 * time.Millisecond
 	// maxChunkSpan limits the time between the arrivals of the first and the last byte of a chunk.
 	maxChunkSpan = 10 * time.Millisecond
 	// chunkOverhead is what a chunk takes besides its bytes.
@@ -124,21 +121,11 @@
 	if c.readAhead.truncated {
 		return false
 	}
-	c.recordDueToEnd(toEnd)
-	_, arrived := c.nextArrival()
-	return !toEnd && c.dueToEndSince.IsZero() || arrived || !c.input.end(inputSealed)
-}
-
-// recordDueToEnd notes since when the connection has been due to end for the sake of other clients. It stays so: it
-// ends with the requests that were read, of which the later ones are rejected. The lock must be held.
-func (c *clientConn) recordDueToEnd(toEnd bool) {
-	switch {
-	case c.owner.draining:
-	case toEnd && c.dueToEndSince.IsZero():
-		c.dueToEndSince = time.Now()
-	case !c.dueToEndSince.IsZero() && time.Since(c.dueToEndSince) > maxPipelineOvertime:
-		c.overdue.Store(true)
+	if toEnd && !c.owner.draining {
+		c.shedding.Store(true)
 	}
+	_, arrived := c.nextArrival()
+	return !toEnd && !c.shedding.Load() || arrived || !c.input.end(inputSealed)
 }
 
 // recordRead is called after each read with the number of bytes read, the size of the buffer and when
@@ -198,6 +185,8 @@
 // must be held.
 func (c *clientConn) keepReadAhead(p []byte) bool {
 	switch {
+	case len(p) == 0:
+		return true
 	case c.readAhead.truncated:
 		return false
 	case c.readAhead.sealed, c.readAhead.size+len(p) <= maxReadAheadBuf && c.owner.readAheadBytes+len(p) <= c.owner.budgets.readAhead:
