Listen on to a request for the list whose call was given up as silent

Cause: a watch is given up after 3.5 s of silence, counted from before its request was sent, a fetch after 3 s, and the request ends with the call, so that each answer comes to nobody.

Change: a call is still given up in that time, and the next one begins as before, at the next address if there is one. The request of the first goes on beside it, for up to 30 s to its first byte and at most three at once. The first answer to any of them becomes the watch, and the others end. If none runs at that moment, the agent opens its watch at once, with that answer. A fetch waits for such answers after its round. Requests to a removed address, or for other services or another version, end.

--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -22,6 +22,7 @@
 		post(e)
 	}
 	c.OnFailover = func(addr string, err error) { d.post(event{kind: eventFailover, addr: addr, err: err}) }
+	c.OnLateAnswer = func() { d.post(event{kind: eventLateAnswer}) }
 	c.OnPartial = func(l endpoints.List) { d.post(event{kind: eventListPartial, list: l}) }
 	d.client = endpoints.NewClient(c)
 	return d
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -144,3 +145,34 @@
 		t.Fatalf("second query %q", q)
 	}
 }
+
+// Guards against a discovery that answers each call later than a watch may be silent and is never heard: the agent
+// applies its first answer when it comes.
+func TestLateDiscoveryIsHeard(t *testing.T) {
+	t.Parallel()
+	const late = endpoints.WatchSilenceTimeout + 500*time.Millisecond
+	draining, _ := countingBackend(t, http.StatusOK, false)
+	text, err := json.Marshal(map[string]any{"seq": 2, "whole": true, "hosts": []any{hostEntry(0, draining, "draining")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(late)
+		w.Write(append(text, '\n'))
+		w.(http.Flusher).Flush()
+		if r.URL.RawQuery != "" {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(s.Close)
+	config := testConfig(s.Listener.Addr().String(), draining)
+	began := time.Now()
+	a, base, _, _ := startAgent(t, config)
+	if status, _, _ := send(t, newCall(base, "order")); status != http.StatusOK {
+		t.Fatalf("answered %d with the cached list", status)
+	}
+	waitUntil(t, "the late list is applied", func() bool { return !a.loop.hasUsableBackend.Load() })
+	if took := time.Since(began); took > late+time.Second {
+		t.Errorf("the list was applied after %v, discovery answered after %v", took, late)
+	}
+}
--- a/internal/agent/event.go
+++ b/internal/agent/event.go
@@ -21,6 +21,7 @@
 	eventShutdown                          // no fields
 	eventFailover                          // addr: the address that failed; err: the reason
 	eventListPartial                       // list: the received entries of an incomplete list
+	eventLateAnswer                        // no fields: discovery has answered a watch that was given up as silent
 	eventUnsolicited                       // backend, transport: the backend sent bytes that belong to no response
 )
 
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -181,6 +181,8 @@
 		l.warnDiscovery("discovery: failed over", "address", e.addr, "err", e.err)
 	case eventDiscoveryChanged:
 		l.changeDiscovery(e.addrs, e.services)
+	case eventLateAnswer:
+		l.openWatch()
 	case eventUnsolicited:
 		l.handleUnsolicited(e.backend, e.transport)
 	case eventShutdown:
--- a/internal/endpoints/client.go
+++ b/internal/endpoints/client.go
@@ -32,6 +32,9 @@
 	// OnFailover, if not nil, receives each address that a call failed over from, and the reason. It
 	// may be called often.
 	OnFailover func(addr string, err error)
+	// OnLateAnswer, if not nil, is called when the service answers a watch that was given up as silent, unless it is
+	// given up for good. The next call of Watch begins with that answer. It may be called on any goroutine.
+	OnLateAnswer func()
 }
 
 // Client reads the endpoint list from one of several addresses. A fetch and a watch may run
@@ -42,6 +45,8 @@
 	createdAt  time.Time
 	bootID     string // distinguishes this client from all others that have used its member name
 
+	lateWatches, lateFetches *lateRequests
+
 	mu             sync.Mutex
 	selector       *AddressSelector
 	subscription   subscription
@@ -66,6 +71,8 @@
 		bootID:       crand.Text(),
 		selector:     NewAddressSelector(config.Addresses, config.OrderSeed, config.Fleet),
 		subscription: newSubscription(config.Services),
+		lateWatches:  newLateRequests(config.OnLateAnswer),
+		lateFetches:  newLateRequests(nil),
 	}
 }
 
@@ -77,6 +84,14 @@
 	if c.cancelWatch != nil && !c.selector.Has(c.watchedAddress) {
 		c.cancelWatch(errAddressRemoved)
 	}
+	c.dropRemovedAddresses()
+}
+
+// dropRemovedAddresses ends the late requests to addresses that were removed. The lock must be held.
+func (c *Client) dropRemovedAddresses() {
+	removed := func(r *listRequest) bool { return !c.selector.Has(r.addr) }
+	c.lateWatches.drop(removed)
+	c.lateFetches.drop(removed)
 }
 
 // Subscribe replaces the services; nil stands for the list of all services. version is the version of
@@ -110,6 +125,7 @@
 		setAddresses()
 	}
 	c.subscription.replace(services, version)
+	c.dropRemovedAddresses()
 	if c.cancelWatch != nil {
 		c.cancelWatch(errSubscriptionChanged)
 	}
--- a/internal/endpoints/fetch.go
+++ b/internal/endpoints/fetch.go
@@ -15,43 +15,59 @@
 
 // Fetch requests the full list from one address after the other until one returns it. With
 // ClientConfig.RejectOlder, a list older than minVersion counts as a failure of its address. If no
-// address returned a list, Fetch returns the error of the last one, and the list is not valid.
+// address returned a list in time, Fetch waits for those that have not answered yet, each up to lateRequestTimeout. If
+// none returns a list, Fetch returns the error of the last one, and the list is not valid.
 func (c *Client) Fetch(ctx context.Context, minVersion int64) (List, error) {
 	var list List
+	defer c.lateFetches.dropAll()
 	err := c.runRound(ctx, func(addr string) error {
 		return c.fetchFrom(ctx, addr, minVersion, &list)
 	})
+	if err != nil && ctx.Err() == nil {
+		requested := c.currentSubscription()
+		if late := c.lateFetches.await(ctx, requested.key(requested.fetchQuery())); late != nil {
+			call, cancel := context.WithTimeout(ctx, fetchTimeout)
+			defer cancel()
+			err = c.readFetched(call, late, &requested, minVersion, &list)
+		}
+	}
 	return list, err
 }
 
 // fetchFrom reads the full list from one address into list.
 func (c *Client) fetchFrom(ctx context.Context, addr string, minVersion int64, list *List) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	call, cancel := context.WithTimeoutCause(ctx, fetchTimeout, errSilenceTimeout)
 	defer cancel()
 	requested := c.currentSubscription()
-	resp, err := c.requestList(ctx, addr, requested.fetchQuery())
+	request, err := c.request(ctx, call, addr, requested.key(requested.fetchQuery()), c.lateFetches)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
+	return c.readFetched(call, request, &requested, minVersion, list)
+}
+
+// readFetched reads the full list that a request was answered with into list.
+func (c *Client) readFetched(call context.Context, request *listRequest, requested *subscription, minVersion int64, list *List) error {
+	defer request.Close()
+	defer request.endWith(call)()
 	firstByteAt := time.Now()
-	text, err := readList(resp.Body)
+	text, err := readList(request)
 	if err != nil {
 		// A response header alone does not mean that a part of the list was delivered: the service
 		// may stall before it writes any byte of the list.
 		if len(bytes.TrimSpace(text)) > 0 {
-			c.reportPartial(resp, &requested, text, firstByteAt)
+			c.reportPartial(request.resp, requested, text, firstByteAt)
 		}
 		return err
 	}
 	if *list, err = Parse(text); err != nil {
 		return err
 	}
-	markOrigin(list, resp, &requested)
+	markOrigin(list, request.resp, requested)
 	if c.config.RejectOlder && list.Seq < requested.requiredVersion(minVersion) {
 		return errStaleList
 	}
-	return c.acceptFetchedList(addr, &requested)
+	return c.acceptFetchedList(request.addr, requested)
 }
 
 // readList reads the text of one list. With an error, it also returns the bytes received so far.
--- a/internal/endpoints/watch.go
+++ b/internal/endpoints/watch.go
@@ -23,7 +23,7 @@
 
 // watchAddress runs one watch at one address, and updates *version with the version of each list.
 func (c *Client) watchAddress(ctx context.Context, addr string, version *int64, onList func(List)) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	requested := c.watchStarted(addr, cancel)
 	defer c.watchEnded()
@@ -38,7 +38,7 @@
 		onActivity: func() { silenceTimer.Reset(c.config.SilenceTimeout) },
 		onList:     onList,
 	}
-	return watchError(ctx, w.run(ctx))
+	return watchError(call, w.run(ctx, call))
 }
 
 // watchError returns the error of a watch. If the watch was canceled, it returns the cause of the
@@ -65,6 +65,13 @@
 	return requested
 }
 
+// watchAnswered records that a request to another address than that of the call has been answered.
+func (c *Client) watchAnswered(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watchedAddress = addr
+}
+
 // watchEnded records that no watch is running.
 func (c *Client) watchEnded() {
 	c.mu.Lock()
@@ -85,19 +92,27 @@
 	resp *http.Response
 }
 
-// run reads the watch until it ends. The error is never nil: it is errWatchClosed if the server closed
-// the response normally.
-func (w *watch) run(ctx context.Context) error {
-	resp, err := w.client.requestList(ctx, w.addr, w.requested.watchQuery(*w.version))
+// run reads the watch until it or the call ends. The error is never nil: it is errWatchClosed if the server closed
+// the response normally. If the call is given up before the service answers, its request goes on until ctx ends.
+func (w *watch) run(ctx, call context.Context) error {
+	key := w.requested.key(w.requested.watchQuery(*w.version))
+	startedAt := time.Now()
+	request, err := w.client.request(ctx, call, w.addr, key, w.client.lateWatches)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	w.resp = resp
+	defer request.Close()
+	defer request.endWith(call)()
+	w.resp = request.resp
+	if request.sentAt.Before(startedAt) {
+		w.addr = request.addr
+		w.client.watchAnswered(w.addr)
+		w.onActivity()
+	}
 	scanner := listScanner{onList: w.handleList, onBlankLine: w.onActivity, onPartial: w.handlePartial}
 	buf := make([]byte, watchBufferBytes)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := request.Read(buf)
 		if scanErr := scanner.feed(buf[:n]); scanErr != nil {
 			return scanErr
 		}
