Answer OPTIONS * and other methods than GET on /ready as invalid requests

Cause: net/http answers OPTIONS * itself unless DisableGeneralOptionsHandler is set, and the handler looked at the path of /ready only. Both are now requests of an unknown class, answered 404 with a close. TestRequestsToTheAgentItself guards it; it was written with the change and not run before it.

--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -44,7 +44,7 @@
 		// the connection still prevents a part of the body from being read as a request.
 		w.Header().Set("Connection", "close")
 	}
-	if httpRequest.URL.Path == "/ready" {
+	if httpRequest.URL.Path == "/ready" && httpRequest.Method == http.MethodGet {
 		a.serveReady(w, client)
 		return
 	}
--- a/internal/agent/handler_test.go
+++ b/internal/agent/handler_test.go
@@ -252,3 +252,23 @@
 		}
 	}
 }
+
+// Guards against answering a request that has not run as if it had: only GET asks whether the agent is ready, and the
+// agent has no options to report.
+func TestRequestsToTheAgentItself(t *testing.T) {
+	_, base, _, _ := startAgent(t, testConfig(unreachableAddr, unreachableAddr))
+	for text, want := range map[string]int{
+		"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n":                                                             http.StatusOK,
+		"POST /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n":                                       http.StatusNotFound,
+		"PUT /ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n":                                        http.StatusNotFound,
+		"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n":                                                              http.StatusNotFound,
+		"OPTIONS * HTTP/1.1\r\nHost: x\r\nRequest-Id: i\r\nRequest-Timeout: 9m\r\nContent-Length: 0\r\n\r\n": http.StatusNotFound,
+	} {
+		c, r := dialAgent(t, base)
+		io.WriteString(c, text)
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Errorf("%q: %v, %v, want %d", text, resp, err, want)
+		}
+	}
+}
--- a/internal/agent/server.go
+++ b/internal/agent/server.go
@@ -80,11 +80,13 @@
 		clients: newClientConns(clientSockets(c.Limits.Sockets), l.budgets)}
 	a.clients.log = log
 	a.server = &http.Server{
-		Handler:           a,
-		ReadHeaderTimeout: headTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxBodyBytes,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		Handler: a,
+		// Requests that are not for a backend are invalid, "OPTIONS *" too.
+		DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout:            headTimeout,
+		IdleTimeout:                  idleTimeout,
+		MaxHeaderBytes:               maxBodyBytes,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientConnKey{}, c)
 		},
