Limit the rate of readiness answers on one connection

Cause: the agent answers these itself, so no limit of the balancer applies to them. On one core 70,000 a second take the time from the loop and the attempts; servers look slow, and the balancer rejects.

Change: on one connection 50 such answers come at once, then one every 20 ms; meanwhile the client's bytes stay in the kernel.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"knotrouter/internal/endpoints"
 	"knotrouter/internal/transient"
 )
 
@@ -21,6 +22,8 @@
 	handling   atomic.Bool  // the handler runs, or has ended and net/http has not gone on to the next request
 	bodyLeft   atomic.Int64 // bytes of the current body that net/http has not read; -1: unknown
 	admittedAt time.Time    // when the connection got its slot
+	// localAnswers limits the answers that the agent makes itself; used by the handler only.
+	localAnswers endpoints.TokenBucket
 
 	stage            connStage
 	stageSince       time.Time // start of the current stage
@@ -145,6 +148,15 @@
 	return c.requestArrivedAt
 }
 
+// paceLocalAnswer waits, if the client sends requests that the agent answers itself faster than localAnswerRate. They
+// cost a client nothing and no limit of the balancer applies to them, so that one connection could take all processor
+// time. c is nil in tests without a connection.
+func (c *clientConn) paceLocalAnswer() {
+	if c != nil && !c.localAnswers.Take(time.Since(c.admittedAt)) {
+		time.Sleep(time.Second / localAnswerRate)
+	}
+}
+
 // setStage changes the stage and records the time of the change. The lock must be held.
 func (c *clientConn) setStage(s connStage) {
 	if c.stage != s {
--- a/internal/agent/clientconns.go
+++ b/internal/agent/clientconns.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"knotrouter/internal/endpoints"
 )
 
 const (
@@ -32,6 +34,10 @@
 	maxReadAheadTotal = 2 << 20
 )
 
+// localAnswerRate is how many answers per second the agent makes itself on one connection, and how many of them at once.
+// Probes of readiness come a few times a second.
+const localAnswerRate = 50
+
 // connStage is the state of a client's connection between and within requests.
 type connStage uint8
 
@@ -78,7 +84,8 @@
 // waits until one can be evicted or is closed. If done is closed meanwhile, admit closes raw and
 // returns nil.
 func (cs *clientConns) admit(raw net.Conn, done <-chan struct{}) *clientConn {
-	c := &clientConn{Conn: raw, owner: cs, input: newClientInput(raw), stageSince: time.Now(), canceled: make(chan struct{}), ended: make(chan struct{})}
+	c := &clientConn{Conn: raw, owner: cs, input: newClientInput(raw),
+		localAnswers: endpoints.TokenBucket{Burst: localAnswerRate, Rate: localAnswerRate}, stageSince: time.Now(), canceled: make(chan struct{}), ended: make(chan struct{})}
 	c.pending = newHeadBuffer(cs.budgets.requests, cs.budgets.parsing, c.evict)
 	for {
 		cs.mu.Lock()
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -45,6 +45,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if httpRequest.URL.Path == "/ready" && httpRequest.Method == http.MethodGet {
+		client.paceLocalAnswer()
 		a.serveReady(w, client)
 		return
 	}
