Begin no attempt before what the client sent behind its request is read

Cause: the end of the client's side stands behind its bytes, which wait in the kernel or, while there is no room, in the client's. The check before an attempt's first byte looked at the next byte only, and took a connection with unread bytes for one whose client is there.

Change: a request is handed to the balancer when what was sent behind it is read, at most 0.5 s later; read-ahead keeps or drops those bytes as before. A request with nothing behind it costs one poll(2). The check also sees an end behind unread bytes (POLLRDHUP), as do connections that read nothing ahead any more.

--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -1,10 +1,10 @@
 package agent
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"knotrouter/internal/endpoints"
@@ -229,8 +229,8 @@
 	return readScope{maxBytes: int(max(c.bodyLeft.Load(), 0))}
 }
 
-// disconnected reports whether the client has closed its connection. It asks the operating system,
-// because the request and the end of the client's side may have been queued there for a long time.
+// disconnected reports whether the client has closed its connection. It asks the operating system, because the request
+// and the end of the client's side may have been queued there for a long time, and much unread between them.
 func (c *clientConn) disconnected() bool {
 	select {
 	case <-c.canceled:
@@ -240,23 +240,13 @@
 	c.owner.mu.Lock()
 	ended := c.peerEnded
 	c.owner.mu.Unlock()
-	sc, ok := c.Conn.(syscall.Conn)
-	if ended {
-		return true
-	}
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
+	if ended || c.input.raw == nil {
+		return ended
 	}
-	disconnected := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	err := c.input.raw.Control(func(fd uintptr) {
 		// A permanent error means that the connection has failed.
-		disconnected = n == 0 && err == nil || err != nil && !transient.IsTemporary(err)
+		endErr := peekEnd(fd)
+		ended = endErr == io.EOF || !transient.IsTemporary(endErr)
 	})
-	return disconnected || err != nil
+	return ended || err != nil
 }
--- a/internal/agent/clientinput.go
+++ b/internal/agent/clientinput.go
@@ -94,8 +94,8 @@
 	return n, err
 }
 
-// peekEnd returns io.EOF or an error if the peer has ended the connection, and EAGAIN if it has not or if there are
-// unread bytes, which it leaves unread.
+// peekEnd returns io.EOF or an error if the peer has ended the connection, and EAGAIN if it has not. It leaves all bytes
+// unread.
 func peekEnd(fd uintptr) error {
 	var b [1]byte
 	for {
@@ -104,7 +104,7 @@
 		case err == syscall.EINTR:
 		case err != nil:
 			return err
-		case n == 0:
+		case n == 0 || peerHasEnded(fd):
 			return io.EOF
 		default:
 			return syscall.EAGAIN
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -86,6 +86,7 @@
 			panic(http.ErrAbortHandler) // the connection is being closed: the client may send the request again
 		}
 		canceled = client.canceled
+		client.awaitReadAhead(httpRequest.Context())
 	}
 	guardTimer := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guardTimer.Stop()
--- a/internal/agent/readable.go
+++ b/internal/agent/readable.go
@@ -5,8 +5,13 @@
 	"unsafe"
 )
 
-// pollIn is POLLIN of poll(2): there is data to read, or a connection to accept.
-const pollIn = 0x1
+// Events of poll(2).
+const (
+	pollIn          = 0x1    // POLLIN: there is data to read, or a connection to accept
+	pollError       = 0x8    // POLLERR
+	pollHangup      = 0x10   // POLLHUP: both sides have ended
+	pollInputHangup = 0x2000 // POLLRDHUP: the peer's side has ended, perhaps behind unread data
+)
 
 // pollDescriptor is struct pollfd of poll(2).
 type pollDescriptor struct {
@@ -33,9 +38,22 @@
 
 // mayPollIn asks poll(2) about one descriptor. It returns true if the call fails.
 func mayPollIn(fd uintptr) bool {
-	descriptor := pollDescriptor{fd: int32(fd), events: pollIn}
+	events, ok := pollNow(fd, pollIn)
+	return !ok || events != 0
+}
+
+// peerHasEnded reports whether the peer of a connection has ended its side, or the connection has failed, even if
+// there are unread bytes before that. It returns false if that is unknown.
+func peerHasEnded(fd uintptr) bool {
+	events, ok := pollNow(fd, pollInputHangup)
+	return ok && events&(pollInputHangup|pollHangup|pollError) != 0
+}
+
+// pollNow asks poll(2), without waiting, which events have occurred. ok is false if the call fails.
+func pollNow(fd uintptr, wanted int16) (occurred int16, ok bool) {
+	descriptor := pollDescriptor{fd: int32(fd), events: wanted}
 	var noWait syscall.Timespec
-	ready, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&descriptor)), 1,
+	_, _, errno := syscall.Syscall6(syscall.SYS_PPOLL, uintptr(unsafe.Pointer(&descriptor)), 1,
 		uintptr(unsafe.Pointer(&noWait)), 0, 0, 0)
-	return errno != 0 || ready > 0
+	return descriptor.revents, errno == 0
 }
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"os"
 	"slices"
 	"time"
@@ -14,6 +15,13 @@
 	// discardPause, so that a client that never stops sending takes little processor time.
 	discardedPerPause = 256 << 10
 	discardPause      = 5 * time.Millisecond
+	// maxReadAheadWait limits the wait for what a client has sent behind its request. A client that sends without end
+	// delays its own requests only. readAheadPoll is the time between two looks.
+	maxReadAheadWait = 500 * time.Millisecond
+	readAheadPoll    = 500 * time.Microsecond
+	// minQuietLooks is how many looks in a row have to find nothing unread behind a request with more behind it: the
+	// client's system may still hold bytes for which there was no room.
+	minQuietLooks = 2
 	// maxChunkSpan limits the time between the arrivals of the first and the last byte of a chunk.
 	maxChunkSpan = 10 * time.Millisecond
 	// chunkOverhead is what a chunk takes besides its bytes.
@@ -179,6 +187,36 @@
 	}
 }
 
+// awaitReadAhead waits until what the client has sent behind the current request is read, ctx or the connection ends, or
+// maxReadAheadWait has passed. The end of the client's side stands behind it, and no attempt may begin for a client that
+// has left. A connection that ends soon reads nothing ahead.
+func (c *clientConn) awaitReadAhead(ctx context.Context) {
+	deadline := time.Now().Add(maxReadAheadWait)
+	for quietLooks := 0; !c.endsSoon() && time.Now().Before(deadline); quietLooks++ {
+		switch {
+		case mayBeReadable(c.Conn):
+			quietLooks = 0
+		case !c.hasSentAhead() || quietLooks >= minQuietLooks:
+			return
+		}
+		select {
+		case <-time.After(readAheadPoll):
+		case <-c.canceled:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// hasSentAhead reports whether bytes behind the current request were read.
+func (c *clientConn) hasSentAhead() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	_, arrived := c.nextArrival()
+	return arrived || c.readAhead.truncated
+}
+
 // keepReadAhead keeps bytes that were read ahead. If they exceed the limits, it drops them and all that
 // were kept before: the response to the current request then announces the close of the connection, so
 // that the client knows that no later request was begun. It returns whether the bytes are kept. The lock
