Reject a request behind which its client goes on sending, and force that order in a test

Found by the test of 240 clients with the race detector: requests whose connection still had unread bytes after 0.5 s were handed to the balancer, up to 2.4 s after their client's close.

Change: such a request is rejected with 503, without an attempt.

Measured: TestNoAttemptForClientThatLeftBehindUnreadRequests fails 5 of 5 without the wait and passes 15 of 15 with it. TestClientConnectionIsChecked passes.

--- a/internal/agent/cancellation_test.go
+++ b/internal/agent/cancellation_test.go
@@ -211,3 +211,34 @@
 	}
 	receive(t, "the attempt is canceled", closed)
 }
+
+// Guards against attempts for a client that has left, whose end stands behind requests that the agent has not read yet:
+// they wait in the client's own system while there is no room for them in the agent's.
+func TestNoAttemptForClientThatLeftBehindUnreadRequests(t *testing.T) {
+	const sentBytes = 400 << 10
+	addr, received := countingBackend(t, http.StatusOK, false)
+	a, base, _, _ := startAgent(t, testConfig(unreachableAddr, addr))
+	setCapacity := func(capacity int) (before int) {
+		a.clients.mu.Lock()
+		defer a.clients.mu.Unlock()
+		before, a.clients.capacity = a.clients.capacity, capacity
+		return before
+	}
+	capacity := setCapacity(0) // the connection waits to be admitted
+	c, _ := dialAgent(t, base)
+	if _, err := io.WriteString(c, strings.Repeat(requestText("gone"), sentBytes/len(requestText("gone")))); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	time.Sleep(2 * minIdleBeforeEviction)
+	setCapacity(capacity)
+	if status, _, _ := send(t, newCall(base, "order")); status != http.StatusOK {
+		t.Fatalf("answered %d", status)
+	}
+	waitUntil(t, "the client's connection is released", func() bool { return a.clients.countAt(connIdle) == a.clients.count() })
+	for len(received) > 0 {
+		if id := <-received; id == "gone" {
+			t.Fatal("a request of a client that had left was forwarded")
+		}
+	}
+}
--- a/internal/agent/clientconn.go
+++ b/internal/agent/clientconn.go
@@ -1,14 +1,13 @@
 package agent
 
 import (
-	"io"
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"knotrouter/internal/endpoints"
-	"knotrouter/internal/transient"
 )
 
 // clientConn is a client's connection as net/http sees it. The fields from stage to readAhead are guarded by
@@ -244,9 +243,7 @@
 		return ended
 	}
 	err := c.input.raw.Control(func(fd uintptr) {
-		// A permanent error means that the connection has failed.
-		endErr := peekEnd(fd)
-		ended = endErr == io.EOF || !transient.IsTemporary(endErr)
+		ended = peekEnd(fd) != syscall.EAGAIN
 	})
 	return ended || err != nil
 }
--- a/internal/agent/clientinput.go
+++ b/internal/agent/clientinput.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"syscall"
+
+	"knotrouter/internal/transient"
 )
 
 // inputState says which bytes of a client's connection may still be read.
@@ -94,22 +96,20 @@
 	return n, err
 }
 
-// peekEnd returns io.EOF or an error if the peer has ended the connection, and EAGAIN if it has not. It leaves all bytes
-// unread.
+// peekEnd returns io.EOF or a permanent error if the peer has ended the connection or it has failed, and EAGAIN
+// otherwise. It leaves all bytes unread.
 func peekEnd(fd uintptr) error {
 	var b [1]byte
-	for {
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case err == syscall.EINTR:
-		case err != nil:
-			return err
-		case n == 0 || peerHasEnded(fd):
-			return io.EOF
-		default:
-			return syscall.EAGAIN
-		}
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err != nil && transient.IsTemporary(err):
+		return syscall.EAGAIN
+	case err != nil:
+		return err
+	case n == 0 || peerHasEnded(fd):
+		return io.EOF
 	}
+	return syscall.EAGAIN
 }
 
 // recorded notes that the bytes read so far show in the connection's stage or in its read-ahead.
--- a/internal/agent/handler.go
+++ b/internal/agent/handler.go
@@ -86,7 +86,11 @@
 			panic(http.ErrAbortHandler) // the connection is being closed: the client may send the request again
 		}
 		canceled = client.canceled
-		client.awaitReadAhead(httpRequest.Context())
+		if !client.awaitReadAhead(httpRequest.Context()) {
+			answered = true
+			a.writeResponse(w, client, http.StatusServiceUnavailable, "", nil)
+			return
+		}
 	}
 	guardTimer := time.NewTimer(time.Until(r.deadline) - guardMargin)
 	defer guardTimer.Stop()
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -15,8 +15,7 @@
 	// discardPause, so that a client that never stops sending takes little processor time.
 	discardedPerPause = 256 << 10
 	discardPause      = 5 * time.Millisecond
-	// maxReadAheadWait limits the wait for what a client has sent behind its request. A client that sends without end
-	// delays its own requests only. readAheadPoll is the time between two looks.
+	// maxReadAheadWait limits the wait for what a client has sent behind its request. readAheadPoll is the time between two looks.
 	maxReadAheadWait = 500 * time.Millisecond
 	readAheadPoll    = 500 * time.Microsecond
 	// minQuietLooks is how many looks in a row have to find nothing unread behind a request with more behind it: the
@@ -187,26 +186,30 @@
 	}
 }
 
-// awaitReadAhead waits until what the client has sent behind the current request is read, ctx or the connection ends, or
-// maxReadAheadWait has passed. The end of the client's side stands behind it, and no attempt may begin for a client that
-// has left. A connection that ends soon reads nothing ahead.
-func (c *clientConn) awaitReadAhead(ctx context.Context) {
+// awaitReadAhead waits until what the client has sent behind the current request is read, or ctx or the connection ends.
+// The end of the client's side stands behind it, and no attempt may begin for a client that has left. It returns false
+// if there is more after maxReadAheadWait. A connection that ends soon reads nothing ahead.
+func (c *clientConn) awaitReadAhead(ctx context.Context) bool {
 	deadline := time.Now().Add(maxReadAheadWait)
-	for quietLooks := 0; !c.endsSoon() && time.Now().Before(deadline); quietLooks++ {
+	for quietLooks := 0; !c.endsSoon(); quietLooks++ {
 		switch {
 		case mayBeReadable(c.Conn):
 			quietLooks = 0
 		case !c.hasSentAhead() || quietLooks >= minQuietLooks:
-			return
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false
 		}
 		select {
 		case <-time.After(readAheadPoll):
 		case <-c.canceled:
-			return
+			return true
 		case <-ctx.Done():
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // hasSentAhead reports whether bytes behind the current request were read.
