Heed reloads while a shutdown waits for answers

Since a shutdown lasts as long as an answer is owed, an agent could go on with a discovery that has moved, for as long as a request may take.

Change: reloads go on until Serve returns. Requests that were read are answered as before.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -64,7 +64,9 @@
 	if err != nil {
 		return fmt.Errorf("config: listen: %w", err)
 	}
-	go reload(ctx, path, reloads, log, a)
+	serving, served := context.WithCancel(context.Background())
+	defer served()
+	go reload(serving, path, reloads, log, a) // a shutdown takes as long as its requests: reloads go on meanwhile
 	if config.CachedListErr != nil {
 		log.Warn("cached list: invalid entries skipped", "err", config.CachedListErr)
 	}
--- a/cmd/agent/memoryflood_test.go
+++ b/cmd/agent/memoryflood_test.go
@@ -79,6 +79,8 @@
 	cmd    *exec.Cmd
 	listen string
 	stderr *stderrBuffer
+
+	config, configPath string
 }
 
 // startFlooded starts the program with limits, servers at the addresses, and no discovery.
@@ -99,14 +101,14 @@
 		hosts = append(hosts, fmt.Sprintf(`{"host":"s-%d","dial":%q,"site":"a","class":"k","health":"ready","share":1}`, i, addr))
 	}
 	p := &floodedProgram{t: t, limits: limits, listen: freeAddr(t), stderr: &stderrBuffer{}}
-	config := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":%d,"sockets":%d},
+	p.config = fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"1f","limits":{"cores":1,"memory_mb":%d,"sockets":%d},
  "settings":%s,"known":{"seq":1,"whole":true,"hosts":[%s]}}`, p.listen, discovery, limits.memoryMB, limits.sockets, floodSettings, strings.Join(hosts, ","))
-	configPath := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(configPath, []byte(config), 0o600); err != nil {
+	p.configPath = filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(p.configPath, []byte(p.config), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command(path)
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+configPath)
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+p.configPath)
 	p.cmd.Stderr = p.stderr
 	startUntilCleanup(t, p.cmd)
 	waitReady(t, p.listen, p.stderr)
--- a/cmd/agent/reload_test.go
+++ b/cmd/agent/reload_test.go
@@ -1,9 +1,14 @@
 package main
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -55,3 +60,52 @@
 		})
 	}
 }
+
+// Guards against a shutdown in which reloads are ignored, or cost an answer: requests that a client sent at once before
+// SIGTERM are all answered, while the configuration is read again and discovery is called at its new address.
+func TestReloadsDuringAShutdown(t *testing.T) {
+	const count, serviceTime = 4, 300 * time.Millisecond
+	called := make(chan struct{}, 100)
+	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		called <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(func() { discovery.CloseClientConnections(); discovery.Close() })
+	server := rawConnServer(t, func(c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			time.Sleep(serviceTime)
+			_, _ = io.WriteString(c, shortAnswer)
+		}
+	})
+	p := startFlooded(t, memoryLimits{32, 256}, server)
+	c, err := net.Dial("tcp", p.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range count {
+		_, _ = io.WriteString(c, callHead("look", fmt.Sprint("r", i), "", 0))
+	}
+	time.Sleep(serviceTime / 2)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(serviceTime / 2)
+	reloadProgram(t, p.cmd, p.configPath, strings.Replace(p.config, "127.0.0.1:1", discovery.Listener.Addr().String(), 1))
+	r := bufio.NewReader(c)
+	for i := range count {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("answer %d of %d: %v", i, count, err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("answer %d of %d: %d, %v", i, count, resp.StatusCode, err)
+		}
+	}
+	if len(called) == 0 {
+		t.Errorf("discovery was not called at its new address; stderr: %s", p.stderr)
+	}
+}
