Count the end of a late watch for the address that answered, and poll(2) for certain only

Found by reading the change. A watch that began with a late answer from one address, while another was being called, counted at its end as a failure of the other: with several control-plane servers the wrong one would be avoided. Calls now return the address that has answered.

If poll(2) failed, as system calls may, every request would have waited 0.5 s and been rejected, as what is unknown counted as unread bytes. Only what is certain counts now.

--- a/internal/agent/readable.go
+++ b/internal/agent/readable.go
@@ -36,6 +36,17 @@
 	return err != nil || readable
 }
 
+// hasUnread reports whether a read from a connection would return at once. It returns false if that is unknown, so only
+// true is certain.
+func hasUnread(raw syscall.RawConn) bool {
+	unread := false
+	_ = raw.Control(func(fd uintptr) {
+		events, ok := pollNow(fd, pollIn)
+		unread = ok && events != 0
+	})
+	return unread
+}
+
 // mayPollIn asks poll(2) about one descriptor. It returns true if the call fails.
 func mayPollIn(fd uintptr) bool {
 	events, ok := pollNow(fd, pollIn)
--- a/internal/agent/readahead.go
+++ b/internal/agent/readahead.go
@@ -191,9 +191,9 @@
 // if there is more after maxReadAheadWait. A connection that ends soon reads nothing ahead.
 func (c *clientConn) awaitReadAhead(ctx context.Context) bool {
 	deadline := time.Now().Add(maxReadAheadWait)
-	for quietLooks := 0; !c.endsSoon(); quietLooks++ {
+	for quietLooks := 0; c.input.raw != nil && !c.endsSoon(); quietLooks++ {
 		switch {
-		case mayBeReadable(c.Conn):
+		case hasUnread(c.input.raw):
 			quietLooks = 0
 		case !c.hasSentAhead() || quietLooks >= minQuietLooks:
 			return true
--- a/internal/endpoints/fetch.go
+++ b/internal/endpoints/fetch.go
@@ -20,7 +20,7 @@
 func (c *Client) Fetch(ctx context.Context, minVersion int64) (List, error) {
 	var list List
 	defer c.lateFetches.dropAll()
-	err := c.runRound(ctx, func(addr string) error {
+	err := c.runRound(ctx, func(addr string) (string, error) {
 		return c.fetchFrom(ctx, addr, minVersion, &list)
 	})
 	if err != nil && ctx.Err() == nil {
@@ -35,15 +35,15 @@
 }
 
 // fetchFrom reads the full list from one address into list.
-func (c *Client) fetchFrom(ctx context.Context, addr string, minVersion int64, list *List) error {
+func (c *Client) fetchFrom(ctx context.Context, addr string, minVersion int64, list *List) (answeredBy string, err error) {
 	call, cancel := context.WithTimeoutCause(ctx, fetchTimeout, errSilenceTimeout)
 	defer cancel()
 	requested := c.currentSubscription()
 	request, err := c.request(ctx, call, addr, requested.key(requested.fetchQuery()), c.lateFetches)
 	if err != nil {
-		return err
+		return addr, err
 	}
-	return c.readFetched(call, request, &requested, minVersion, list)
+	return request.addr, c.readFetched(call, request, &requested, minVersion, list)
 }
 
 // readFetched reads the full list that a request was answered with into list.
--- a/internal/endpoints/laterequest_test.go
+++ b/internal/endpoints/laterequest_test.go
@@ -196,3 +196,21 @@
 		}
 	})
 }
+
+// The end of a watch that began with a late answer counts for the address that gave it, not for the one that was being
+// called meanwhile.
+func TestEndOfALateWatchCountsForItsAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &lateService{delay: map[string]time.Duration{}}
+		client, _ := newLateClient(s, 2)
+		late := client.selector.candidates[0].addr
+		s.delay[late] = 5 * time.Second
+		var failed []string
+		client.config.OnFailover = func(addr string, err error) { failed = append(failed, addr) }
+		heard := false
+		_ = client.Watch(t.Context(), 5, func(List) { heard = true }) // the watch falls silent after its first list
+		if !heard || len(failed) < 2 || failed[0] != late || failed[1] != late {
+			t.Errorf("heard %v, failovers from %v, want the first two from %s", heard, failed, late)
+		}
+	})
+}
--- a/internal/endpoints/round.go
+++ b/internal/endpoints/round.go
@@ -8,9 +8,10 @@
 )
 
 // runRound makes one round of calls: it calls one address after the other, as chosen by the selector,
-// until a call succeeds, ctx ends, or the selector ends the round. It returns the error of the last
-// call, prefixed with its address if there is more than one address.
-func (c *Client) runRound(ctx context.Context, call func(addr string) error) error {
+// until a call succeeds, ctx ends, or the selector ends the round. call returns the address that has answered, which is
+// another one if that was late, and an error. runRound returns the error of the last call, prefixed with its address if
+// there is more than one address.
+func (c *Client) runRound(ctx context.Context, call func(addr string) (answeredBy string, err error)) error {
 	c.beginRound()
 	lastErr := errNoAddress
 	for {
@@ -21,7 +22,7 @@
 		if err := sleep(ctx, wait); err != nil {
 			return err
 		}
-		err := c.callWhileOutdated(ctx, addr, call)
+		addr, err := c.callWhileOutdated(ctx, addr, call)
 		if isOutdated(err) && ctx.Err() == nil {
 			c.beginRound() // the address was removed: the next one is called without backoff
 			continue
@@ -65,12 +66,12 @@
 
 // callWhileOutdated calls an address. It repeats the call as long as the call ends because its request
 // was outdated, unless the address has been removed.
-func (c *Client) callWhileOutdated(ctx context.Context, addr string, call func(addr string) error) error {
-	err := call(addr)
-	for isOutdated(err) && ctx.Err() == nil && c.hasAddress(addr) {
-		err = call(addr)
+func (c *Client) callWhileOutdated(ctx context.Context, addr string, call func(addr string) (string, error)) (answeredBy string, err error) {
+	answeredBy, err = call(addr)
+	for isOutdated(err) && ctx.Err() == nil && c.hasAddress(answeredBy) {
+		answeredBy, err = call(answeredBy)
 	}
-	return err
+	return answeredBy, err
 }
 
 func (c *Client) hasAddress(addr string) bool {
--- a/internal/endpoints/watch.go
+++ b/internal/endpoints/watch.go
@@ -16,13 +16,14 @@
 // one fails. It returns when its round of calls is over, with the reason why the last call ended; it
 // never returns nil. onList runs on the goroutine of Watch.
 func (c *Client) Watch(ctx context.Context, since int64, onList func(List)) error {
-	return c.runRound(ctx, func(addr string) error {
+	return c.runRound(ctx, func(addr string) (string, error) {
 		return c.watchAddress(ctx, addr, &since, onList)
 	})
 }
 
-// watchAddress runs one watch at one address, and updates *version with the version of each list.
-func (c *Client) watchAddress(ctx context.Context, addr string, version *int64, onList func(List)) error {
+// watchAddress runs one watch at one address, or at one that answers late, and updates *version with the version of each
+// list.
+func (c *Client) watchAddress(ctx context.Context, addr string, version *int64, onList func(List)) (answeredBy string, err error) {
 	call, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	requested := c.watchStarted(addr, cancel)
@@ -38,7 +39,8 @@
 		onActivity: func() { silenceTimer.Reset(c.config.SilenceTimeout) },
 		onList:     onList,
 	}
-	return watchError(call, w.run(ctx, call))
+	err = watchError(call, w.run(ctx, call))
+	return w.addr, err
 }
 
 // watchError returns the error of a watch. If the watch was canceled, it returns the cause of the
